--- /dev/null
+++ b/cmd/sequoiarack/cmd/serve.go
@@ -0,0 +1,82 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/sequoiarack/sequoiarack/internal/daemon"
+	"github.com/sequoiarack/sequoiarack/internal/settings"
+)
+
+func newServe(e *env) *ffcli.Command {
+	set := newFlagSet("serve", e)
+	flags := settings.NewFlags(set)
+	return &ffcli.Command{
+		Name: "serve", ShortUsage: "sequoiarack serve --settings FILE [flags]", ShortHelp: "run the daemon of an entry host",
+		LongHelp: "Runs the daemon until it is interrupted, and then stops gracefully: it tells\n" +
+			"the fleet, takes no new calls, and ends when those that run have ended. A\n" +
+			"second interrupt stops it at once.",
+		FlagSet: set, Options: settings.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError{errors.Errorf("serve takes no arguments, got %q", args[0])}
+			}
+			s, err := flags.Load()
+			if err != nil {
+				return err
+			}
+			return serve(ctx, s)
+		},
+	}
+}
+
+func serve(ctx context.Context, s settings.Settings) error {
+	log, flush, err := newLogger(s)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	d, err := daemon.New(s, daemon.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(running) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(running, time.Duration(s.DrainSeconds)*time.Second+drainMargin)
+	defer cancel()
+	if err := d.Drain(limit); err != nil {
+		stop()
+	}
+	return <-ended
+}
+
+const drainMargin = 5 * time.Second
+
+// newLogger writes lines of JSON to standard error.
+func newLogger(s settings.Settings) (logr.Logger, func(), error) {
+	options := zap.NewProductionConfig()
+	options.Level = zap.NewAtomicLevelAt(zapcore.Level(-s.LogLevel))
+	options.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	options.DisableCaller = true
+	options.DisableStacktrace = true
+	options.Sampling = nil
+	base, err := options.Build()
+	if err != nil {
+		return logr.Discard(), nil, errors.Wrap(err, "logger")
+	}
+	return zapr.NewLogger(base).WithName("sequoiarack").WithValues("Host", s.Host), func() { _ = base.Sync() }, nil
+}
--- /dev/null
+++ b/internal/claim/key.go
@@ -0,0 +1,132 @@
+package claim
+
+import (
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/seal"
+)
+
+// Kind sorts the failures of the package.
+type Kind int
+
+// The kinds.
+const (
+	// BadKey means that the key is neither of the two forms.
+	BadKey Kind = iota
+	// Expired means that the key is too old to be told from a used one.
+	Expired
+	// Unavailable means that the claim was not made and will not be.
+	Unavailable
+	// Undecided means that the claim may have been made; the call was not run.
+	Undecided
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	return [...]string{"malformed key", "expired key", "claim unavailable", "claim undecided"}[k]
+}
+
+// Error is the error type of the package.
+type Error = failure.Error[Kind]
+
+// Key is an idempotency key.
+type Key struct {
+	Text string
+	At   time.Time
+	// Issued is set on a key that a host made, with that host and its
+	// incarnation.
+	Issued      bool
+	Host        string
+	Incarnation int64
+}
+
+const (
+	issuedPrefix = "sq1"
+	issuedFields = 6
+	base         = 36
+	uuidLength   = 36
+	uuidVersion  = '7'
+	maxKeyAhead  = 5 * time.Minute // of the caller's clock
+)
+
+// Issue makes a key that only the given process can spend.
+func Issue(sealer *seal.Sealer, now time.Time, host string, incarnation int64) string {
+	body := strings.Join([]string{
+		issuedPrefix, hex.EncodeToString([]byte(host)), strconv.FormatInt(incarnation, base),
+		strconv.FormatInt(now.UnixMilli(), base), core.NewID(),
+	}, ".")
+	return body + "." + sealer.Seal([]byte(body))
+}
+
+// Parse reads a key and checks its age against how long claims are kept.
+func Parse(sealer *seal.Sealer, text string, now time.Time, retention time.Duration) (Key, error) {
+	const op = "parse key"
+	key, err := parse(sealer, text)
+	if err != nil {
+		return Key{}, failure.Wrap(op, BadKey, err)
+	}
+	if key.At.After(now.Add(maxKeyAhead)) {
+		return Key{}, failure.Wrap(op, BadKey, errors.New("expected a key that was made in the past"))
+	}
+	if now.Sub(key.At) > retention {
+		return Key{}, failure.Wrap(op, Expired, errors.Errorf("expected a key younger than %s", retention))
+	}
+	return key, nil
+}
+
+func parse(sealer *seal.Sealer, text string) (Key, error) {
+	if strings.HasPrefix(text, issuedPrefix+".") {
+		return parseIssued(sealer, text)
+	}
+	return parseUUID(text)
+}
+
+func parseIssued(sealer *seal.Sealer, text string) (Key, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != issuedFields {
+		return Key{}, errors.New("expected a key as it was issued")
+	}
+	body := text[:strings.LastIndexByte(text, '.')]
+	if !sealer.Check(parts[issuedFields-1], []byte(body)) {
+		return Key{}, errors.New("expected a key that a host of the fleet issued")
+	}
+	host, err := hex.DecodeString(parts[1])
+	if err != nil {
+		return Key{}, errors.New("expected a host in the key")
+	}
+	incarnation, err := strconv.ParseInt(parts[2], base, 64)
+	if err != nil {
+		return Key{}, errors.New("expected an incarnation in the key")
+	}
+	ms, err := strconv.ParseInt(parts[3], base, 64)
+	if err != nil {
+		return Key{}, errors.New("expected a time in the key")
+	}
+	return Key{Text: text, At: time.UnixMilli(ms), Issued: true, Host: string(host), Incarnation: incarnation}, nil
+}
+
+func parseUUID(text string) (Key, error) {
+	want := errors.New("expected a UUID of version 7 or an issued key")
+	if len(text) != uuidLength || text[8] != '-' || text[13] != '-' || text[18] != '-' || text[23] != '-' || text[14] != uuidVersion {
+		return Key{}, want
+	}
+	digits := strings.ReplaceAll(text, "-", "")
+	raw, err := hex.DecodeString(digits)
+	const uuidBytes = 16
+	if err != nil || len(raw) != uuidBytes {
+		return Key{}, want
+	}
+	const timeDigits = 12 // 48 bits of milliseconds
+	ms, err := strconv.ParseInt(digits[:timeDigits], 16, 64)
+	if err != nil {
+		return Key{}, want
+	}
+	return Key{Text: strings.ToLower(text), At: time.UnixMilli(ms)}, nil
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/pkg/errors"
+)
+
+// Parse reads and checks a document. Unknown fields are refused. The cause of
+// an Invalid error is a Problems.
+func Parse(data []byte) (Document, error) {
+	const op = "parse"
+	document := Document{Limits: DefaultLimits()}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&document); err != nil {
+		return Document{}, &Error{Op: op, Kind: Malformed, Cause: err}
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Document{}, &Error{Op: op, Kind: Malformed, Cause: errors.New("expected one JSON object and nothing after it")}
+	}
+	if problems := Check(document); problems != nil {
+		return Document{}, &Error{Op: op, Kind: Invalid, Cause: problems}
+	}
+	return document, nil
+}
+
+// PatchKind names the format of a patch.
+type PatchKind string
+
+// The patch formats: RFC 7396 and RFC 6902.
+const (
+	MergePatch PatchKind = "Merge"
+	JSONPatch  PatchKind = "Patch"
+)
+
+// Apply returns the document that a patch makes of data. It does not check it.
+func Apply(data []byte, kind PatchKind, patch []byte) ([]byte, error) {
+	const op = "apply patch"
+	var out []byte
+	var err error
+	switch kind {
+	case MergePatch:
+		out, err = jsonpatch.MergePatch(data, patch)
+	case JSONPatch:
+		var operations jsonpatch.Patch
+		if operations, err = jsonpatch.DecodePatch(patch); err == nil {
+			out, err = operations.Apply(data)
+		}
+	default:
+		err = errors.Errorf("Kind: expected %q or %q, got %q", MergePatch, JSONPatch, kind)
+	}
+	if err != nil {
+		return nil, &Error{Op: op, Kind: BadPatch, Cause: err}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/daemon/announce.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/bulletin"
+	"github.com/sequoiarack/sequoiarack/internal/duty"
+	"github.com/sequoiarack/sequoiarack/internal/placement"
+)
+
+const (
+	announceInterval  = time.Second
+	directoryInterval = 2 * time.Second
+	directoryTimeout  = time.Second
+	watchersPerCentre = 2
+)
+
+type directoryEntry struct {
+	Host       string `json:"Host"`
+	Region     string `json:"Region"`
+	DataCentre string `json:"DataCentre"`
+	Address    string `json:"Address"`
+	TTLSeconds int    `json:"TTLSeconds"`
+}
+
+// announce is the duty that tells other data centres of the load here, and the
+// client directory of this host.
+func (d *Daemon) announce(ctx context.Context) error {
+	var entered time.Time
+	return duty.Every(ctx, d.clock, announceInterval, func(ctx context.Context) {
+		if d.gossip.View().FirstDelegate {
+			d.postLoad(ctx)
+		}
+		if now := d.clock.Now(); now.Sub(entered) >= directoryInterval && !d.draining.Load() && d.feed.State().Version > 0 {
+			entered = now
+			d.enterDirectory(ctx)
+		}
+	})
+}
+
+func (d *Daemon) postLoad(ctx context.Context) {
+	services := d.index().Document.Services
+	report := centreReport{Region: d.settings.Region, Services: map[string]placement.Summary{}}
+	snapshot, err := d.dispatcher.Snapshot(ctx, sortedNames(services)...)
+	if err != nil {
+		return
+	}
+	report.Services = snapshot.Services
+	d.post(loadKeyPrefix+d.settings.DataCentre, d.clock.Now().UnixMilli(), bulletin.Fleet, loadTTLSeconds, report, false)
+}
+
+func (d *Daemon) enterDirectory(ctx context.Context) {
+	body, err := json.Marshal(directoryEntry{
+		Host: d.settings.Host, Region: d.settings.Region, DataCentre: d.settings.DataCentre,
+		Address: d.settings.CallerAddress, TTLSeconds: directoryTTLSeconds,
+	})
+	if err != nil {
+		return
+	}
+	d.tellDirectory(ctx, fasthttp.MethodPut, body)
+}
+
+func (d *Daemon) leaveDirectory(ctx context.Context) { d.tellDirectory(ctx, fasthttp.MethodDelete, nil) }
+
+func (d *Daemon) tellDirectory(ctx context.Context, method string, body []byte) {
+	address := d.settings.PlatformAddress
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + "/directory/" + d.settings.Host)
+	request.SetBody(body)
+	response, err := d.pool.Do(ctx, address, request)
+	if err != nil {
+		d.log.V(1).Info("The client directory could not be told.", "Error", err.Error())
+		return
+	}
+	_, _ = response.ReadAll(maxProbeAnswer)
+}
+
+// watchesStore reports whether this host is one of the few of its data centre
+// that watch the store.
+func (d *Daemon) watchesStore() bool {
+	mates := d.matesInUse()
+	return len(mates) <= watchersPerCentre || d.ranksFor("store watcher", mates)
+}
--- /dev/null
+++ b/internal/daemon/limiter.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/sequoiarack/sequoiarack/internal/config"
+)
+
+// limiterTable holds the rate limits of the workspaces.
+type limiterTable struct {
+	mu       sync.Mutex
+	limiters map[string]*rate.Limiter
+}
+
+// reset takes the rates of a configuration. What was used of them stays used.
+func (t *limiterTable) reset(x *config.Index) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := map[string]*rate.Limiter{}
+	for name, w := range x.Document.Workspaces {
+		if w.RequestsPerSecond == 0 {
+			continue
+		}
+		limiter := t.limiters[name]
+		if limiter == nil {
+			limiter = rate.NewLimiter(rate.Limit(w.RequestsPerSecond), w.Burst)
+		}
+		limiter.SetLimit(rate.Limit(w.RequestsPerSecond))
+		limiter.SetBurst(w.Burst)
+		next[name] = limiter
+	}
+	t.limiters = next
+}
+
+// allow takes one call of a workspace's rate, or tells after how many seconds
+// to come back.
+func (t *limiterTable) allow(workspace string, now time.Time) (retryAfter int, ok bool) {
+	t.mu.Lock()
+	limiter := t.limiters[workspace]
+	t.mu.Unlock()
+	if limiter == nil || limiter.AllowN(now, 1) {
+		return 0, true
+	}
+	return max(1, int(math.Ceil(1/float64(limiter.Limit())))), false
+}
+
+func isA[E error](err error) bool {
+	var target E
+	return errors.As(err, &target)
+}
+
+func failureIs(err, target error) bool { return errors.Is(err, target) }
--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/config"
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/ledger"
+)
+
+const (
+	operatorTimeout = 8 * time.Second
+	historyLimit    = 50
+)
+
+// serveOperator routes the operators' interface. A reader's key may read all of
+// it; patches and drains need an operator's.
+func (d *Daemon) serveOperator(ctx *fasthttp.RequestCtx, path string) {
+	if r := d.authorizeOperator(ctx); r != nil {
+		d.writeRefusal(ctx, nil, r)
+		return
+	}
+	within, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	route := string(ctx.Method()) + " " + path
+	switch route {
+	case "GET /operator/config":
+		d.serveConfig(ctx)
+	case "POST /operator/config":
+		d.servePatch(within, ctx)
+	case "POST /operator/config/check":
+		d.serveCheck(ctx)
+	case "GET /operator/config/history":
+		d.serveHistory(within, ctx)
+	case "GET /operator/hosts":
+		writeJSON(ctx, fasthttp.StatusOK, d.hostStates())
+	case "GET /operator/targets":
+		d.serveTargets(within, ctx)
+	case "GET /operator/dump":
+		writeJSON(ctx, fasthttp.StatusOK, d.Dump(within))
+	case "POST /operator/drain":
+		go func() { _ = d.Drain(context.Background()) }()
+		writeJSON(ctx, fasthttp.StatusAccepted, healthBody{Status: "Leaving", Host: d.settings.Host})
+	case "GET /debug/vars":
+		d.serveVars(ctx)
+	default:
+		d.writeRefusal(ctx, nil, refusal(fasthttp.StatusNotFound, core.ReasonUnknownPath, "no such operation: "+route))
+	}
+}
+
+func (d *Daemon) authorizeOperator(ctx *fasthttp.RequestCtx) *core.Refusal {
+	x := d.index()
+	secret := bearer(ctx)
+	principal, ok := x.Authenticate(secret)
+	switch {
+	case ok && principal.Role == config.RoleOperator:
+		return nil
+	case ok && principal.Role == config.RoleReader && ctx.IsGet():
+		return nil
+	case ok:
+		return refusal(fasthttp.StatusForbidden, core.ReasonForbidden, "expected an operator's key")
+	case d.bootstraps(x, secret):
+		return nil
+	}
+	return refusal(fasthttp.StatusUnauthorized, core.ReasonUnauthenticated, "Authorization: expected an operator's key as a bearer token")
+}
+
+// bootstraps reports whether the secret is that of the settings, which holds
+// only while the configuration names no operator.
+func (d *Daemon) bootstraps(x *config.Index, secret string) bool {
+	want := d.settings.BootstrapOperatorDigest
+	if want == "" || secret == "" {
+		return false
+	}
+	for _, key := range x.Document.Keys {
+		if key.Role == config.RoleOperator {
+			return false
+		}
+	}
+	return subtle.ConstantTimeCompare([]byte(config.Digest(secret)), []byte(want)) == 1
+}
+
+type configBody struct {
+	Version  uint64          `json:"Version"`
+	Digest   string          `json:"Digest"`
+	Document json.RawMessage `json:"Document"`
+}
+
+func (d *Daemon) serveConfig(ctx *fasthttp.RequestCtx) {
+	state := d.feed.State()
+	writeJSON(ctx, fasthttp.StatusOK, configBody{Version: state.Version, Digest: state.Digest, Document: state.Raw})
+}
+
+func readPatch(ctx *fasthttp.RequestCtx) (ledger.Patch, *core.Refusal) {
+	var patch ledger.Patch
+	decoder := json.NewDecoder(strings.NewReader(string(ctx.PostBody())))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&patch); err != nil {
+		return patch, refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, "patch: "+err.Error())
+	}
+	var missing []string
+	if !validID(patch.ID) {
+		missing = append(missing, "ID: expected letters, digits, dashes and underscores")
+	}
+	if len(patch.Body) == 0 {
+		missing = append(missing, "Body: expected a patch")
+	}
+	if patch.Kind != config.MergePatch && patch.Kind != config.JSONPatch {
+		missing = append(missing, fmt.Sprintf("Kind: expected %q or %q", config.MergePatch, config.JSONPatch))
+	}
+	if len(missing) > 0 {
+		return patch, refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, strings.Join(missing, "\n"))
+	}
+	return patch, nil
+}
+
+type patchBody struct {
+	Version uint64 `json:"Version"`
+	ID      string `json:"ID,omitempty"`
+	Digest  string `json:"Digest"`
+}
+
+// patchErrorBody is the answer to a patch that was not accepted. Outcome says
+// NotRun when it never will be.
+type patchErrorBody struct {
+	Reason   core.Reason      `json:"Reason"`
+	Outcome  core.Outcome     `json:"Outcome"`
+	Message  string           `json:"Message"`
+	Version  uint64           `json:"Version"`
+	Problems []config.Problem `json:"Problems,omitempty"`
+}
+
+func (d *Daemon) servePatch(within context.Context, ctx *fasthttp.RequestCtx) {
+	patch, r := readPatch(ctx)
+	if r != nil {
+		d.writeRefusal(ctx, nil, r)
+		return
+	}
+	record, err := d.ledger.Commit(within, patch, d.feed.State().Version)
+	if err != nil {
+		d.writePatchError(ctx, err)
+		return
+	}
+	if err := d.feed.AdoptRecord(record); err != nil {
+		d.log.V(1).Info("An accepted patch is adopted later.", "Version", record.Version, "Error", err.Error())
+	}
+	d.setHeaders(ctx, "", core.Run)
+	writeJSON(ctx, fasthttp.StatusOK, patchBody{Version: record.Version, ID: record.ID, Digest: record.Digest})
+}
+
+func (d *Daemon) writePatchError(ctx *fasthttp.RequestCtx, err error) {
+	body := patchErrorBody{Reason: core.ReasonInvalid, Outcome: core.NotRun, Message: err.Error(), Version: d.feed.State().Version}
+	status := fasthttp.StatusUnprocessableEntity
+	kind, _ := failure.KindOf[ledger.Kind](err)
+	switch kind {
+	case ledger.Conflict:
+		status, body.Reason = fasthttp.StatusConflict, core.ReasonConflict
+	case ledger.Reused:
+		status, body.Reason = fasthttp.StatusConflict, core.ReasonKeyReused
+	case ledger.Unavailable:
+		status, body.Reason = fasthttp.StatusServiceUnavailable, core.ReasonStoreDown
+	case ledger.Unconfirmed:
+		status, body.Reason, body.Outcome = fasthttp.StatusServiceUnavailable, core.ReasonStoreDown, core.Unknown
+	case ledger.WentBack, ledger.Diverged:
+		status, body.Reason = fasthttp.StatusConflict, core.ReasonStaleVersion
+	case ledger.Refused:
+	}
+	var problems config.Problems
+	if errors.As(err, &problems) {
+		body.Problems = problems
+	}
+	d.setHeaders(ctx, "", body.Outcome)
+	writeJSON(ctx, status, body)
+}
+
+// serveCheck tells what a patch would do, without committing it.
+func (d *Daemon) serveCheck(ctx *fasthttp.RequestCtx) {
+	patch, r := readPatch(ctx)
+	if r != nil {
+		d.writeRefusal(ctx, nil, r)
+		return
+	}
+	record, _, err := d.feed.State().Propose(patch, d.clock.Now())
+	if err != nil {
+		d.writePatchError(ctx, err)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, patchBody{Version: record.Version, Digest: record.Digest})
+}
+
+type historyBody struct {
+	Records []ledger.Record `json:"Records"`
+}
+
+func (d *Daemon) serveHistory(within context.Context, ctx *fasthttp.RequestCtx) {
+	limit := ctx.QueryArgs().GetUintOrZero("limit")
+	if limit == 0 {
+		limit = historyLimit
+	}
+	records, err := d.ledger.History(within, limit)
+	if err != nil {
+		d.writePatchError(ctx, err)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, historyBody{Records: records})
+}
+
+func (d *Daemon) serveTargets(within context.Context, ctx *fasthttp.RequestCtx) {
+	snapshot, err := d.dispatcher.Snapshot(within)
+	if err != nil {
+		d.writeRefusal(ctx, nil, refusal(fasthttp.StatusServiceUnavailable, core.ReasonNotReady, err.Error()))
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, snapshot.Targets)
+}
+
+func (d *Daemon) serveVars(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	_, _ = fmt.Fprintf(ctx, "{\n%q: %s", "host", d.metrics.vars.String())
+	expvar.Do(func(kv expvar.KeyValue) {
+		if kv.Key != "sequoiarack" {
+			_, _ = fmt.Fprintf(ctx, ",\n%q: %s", kv.Key, kv.Value.String())
+		}
+	})
+	_, _ = ctx.WriteString("\n}\n")
+}
--- /dev/null
+++ b/internal/daemon/relay.go
@@ -0,0 +1,251 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/attempt"
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/dispatch"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/straggler"
+)
+
+// openStream is a stream whose first event has been read. done frees what it
+// holds.
+type openStream struct {
+	stream *attempt.Stream
+	first  []byte
+	ended  bool // the first event is the terminator
+	name   string
+	done   func()
+}
+
+// entrant is one of the attempts of a call that race for the first event.
+type entrant struct {
+	placed dispatch.Placement
+	cancel context.CancelFunc
+	began  time.Time
+}
+
+type raceEnd struct {
+	entrant *entrant
+	open    *openStream
+	answer  *attempt.Answer
+	err     error
+}
+
+// openAny opens a stream at the placed target and, when its first event is
+// late, at another one. The first to bring an event wins; the other is
+// cancelled.
+func (f *flight) openAny(placed dispatch.Placement) (result, error) {
+	ends := make(chan raceEnd, 2)
+	entrants := []*entrant{f.enter(placed, ends)}
+	hedge := f.d.clock.After(f.hedgeDelay())
+	var failed error
+	for running := 1; running > 0; {
+		select {
+		case <-hedge:
+			if other, ok := f.hedge(placed); ok {
+				entrants = append(entrants, f.enter(other, ends))
+				running++
+			}
+			hedge = nil
+		case end := <-ends:
+			running--
+			if end.err != nil {
+				f.lose(end.entrant, end.err)
+				if end.entrant.placed.ID != placed.ID {
+					f.learn(end.entrant.placed, end.err)
+				} else {
+					failed = end.err
+				}
+				continue
+			}
+			f.settleRace(entrants, end, running, ends)
+			return f.won(end), nil
+		}
+	}
+	return result{}, failed
+}
+
+func (f *flight) enter(placed dispatch.Placement, ends chan<- raceEnd) *entrant {
+	ctx, cancel := context.WithCancel(f.ctx)
+	e := &entrant{placed: placed, cancel: cancel, began: f.d.clock.Now()}
+	go func() { ends <- f.open(ctx, e) }()
+	return e
+}
+
+// open reads up to the first event of a stream.
+func (f *flight) open(ctx context.Context, e *entrant) raceEnd {
+	stream, answer, err := f.d.attempts.Stream(ctx, e.placed.Target.Address, f.call.attempt(f.d), f.call.index.Document.Limits.MaxAnswerBytes)
+	if err != nil {
+		return raceEnd{entrant: e, err: err}
+	}
+	if answer != nil {
+		return raceEnd{entrant: e, answer: answer}
+	}
+	event, ended, err := stream.Next(ctx)
+	if err != nil {
+		stream.Close()
+		return raceEnd{entrant: e, err: err}
+	}
+	if load, ok := stream.Load(); ok {
+		f.d.dispatcher.ReportLoad(e.placed.Target.Name, load)
+	}
+	f.d.dispatcher.ObserveSpeed(e.placed.Target.Name, straggler.FirstToken, f.d.clock.Now().Sub(e.began))
+	return raceEnd{entrant: e, open: &openStream{stream: stream, first: slices.Clone(event), ended: ended, name: e.placed.Target.Name}}
+}
+
+// lose gives up an entrant, which failed with err unless that is nil.
+func (f *flight) lose(e *entrant, err error) {
+	e.cancel()
+	f.d.dispatcher.Release(f.ctx, e.placed)
+	if kind, ok := failure.KindOf[attempt.Kind](err); !ok || kind.Outcome() != core.NotRun {
+		f.cancelWork(e.placed.Target.Address)
+	}
+}
+
+// settleRace gives up the entrants that did not win and takes their ends.
+func (f *flight) settleRace(entrants []*entrant, winner raceEnd, running int, ends <-chan raceEnd) {
+	for _, e := range entrants {
+		if e != winner.entrant && running > 0 {
+			f.lose(e, nil)
+		}
+	}
+	if winner.entrant != entrants[0] {
+		f.d.metrics.add(countHedgeWins, 1)
+	}
+	go func() {
+		for range running {
+			if end := <-ends; end.open != nil {
+				end.open.stream.Close()
+			}
+		}
+	}()
+}
+
+func (f *flight) won(end raceEnd) result {
+	e := end.entrant
+	done := func() {
+		e.cancel()
+		f.d.dispatcher.Release(f.ctx, e.placed)
+	}
+	r := result{answer: end.answer, stream: end.open, target: e.placed.Target.Name, region: f.d.settings.Region}
+	if end.open == nil {
+		done()
+		return r
+	}
+	end.open.done = done
+	return r
+}
+
+// hedgeDelay is how long the first event may take before another target is
+// tried.
+func (f *flight) hedgeDelay() time.Duration {
+	return time.Duration(f.call.service.FirstTokenBudgetMs) * time.Millisecond / 2
+}
+
+// hedge asks for a second target, which must be free at once.
+func (f *flight) hedge(placed dispatch.Placement) (dispatch.Placement, bool) {
+	if f.ctx.Err() != nil || placed.Alone {
+		return dispatch.Placement{}, false
+	}
+	request := f.call.request(f.d, dispatch.Hedge, []string{placed.Target.Name})
+	request.Ask.Deadline = f.d.clock.Now()
+	other, refusal := f.d.dispatcher.Acquire(f.ctx, request)
+	if refusal != nil {
+		return dispatch.Placement{}, false
+	}
+	f.d.metrics.add(countHedges, 1)
+	return other, true
+}
+
+const samplesEvery = 32 // events between two samples of a stream's speed
+
+// relay gives a stream to the caller, event by event.
+func (f *flight) relay(ctx *fasthttp.RequestCtx, open *openStream) {
+	f.d.setHeaders(ctx, f.call.id, core.Run)
+	f.d.metrics.outcomes.Add(core.Run.String(), 1)
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer f.release()
+		if open.done != nil {
+			defer open.done()
+		}
+		f.copyEvents(w, open)
+	})
+}
+
+func (f *flight) copyEvents(w *bufio.Writer, open *openStream) {
+	event, ended := open.first, open.ended
+	events := 0
+	mark := f.d.clock.Now()
+	for {
+		if _, err := w.Write(event); err != nil {
+			f.abandon(open)
+			return
+		}
+		if !open.stream.Buffered() || ended {
+			if err := w.Flush(); err != nil {
+				f.abandon(open)
+				return
+			}
+		}
+		if ended {
+			f.complete(open, events)
+			return
+		}
+		events++
+		if events%samplesEvery == 0 && open.name != "" {
+			now := f.d.clock.Now()
+			f.d.dispatcher.ObserveSpeed(open.name, straggler.PerToken, now.Sub(mark)/samplesEvery)
+			mark = now
+		}
+		var err error
+		if event, ended, err = open.stream.Next(f.ctx); err != nil {
+			f.breakOff(w, open, err)
+			return
+		}
+	}
+}
+
+func (f *flight) complete(open *openStream, events int) {
+	open.stream.Finish()
+	f.d.metrics.add(countEvents, int64(events))
+	f.d.metrics.add(countResumes, int64(open.stream.Resumed()))
+	if open.name != "" {
+		f.d.dispatcher.ObserveLength(f.call.workspace, f.call.serviceName, f.call.limit, events)
+	}
+}
+
+// abandon stops the work for a caller that is gone.
+func (f *flight) abandon(open *openStream) {
+	open.stream.Close()
+	f.cancelWork(open.stream.Address())
+}
+
+// breakOff ends a stream that cannot be completed with an event that says so.
+func (f *flight) breakOff(w *bufio.Writer, open *openStream, err error) {
+	f.abandon(open)
+	f.d.metrics.add(countBroken, 1)
+	r := &core.Refusal{Reason: core.ReasonStreamCut, Message: "the stream broke off: " + err.Error(), Outcome: core.Unknown}
+	if kind, _ := failure.KindOf[attempt.Kind](err); kind == attempt.Cancelled {
+		r.Reason = core.ReasonBudget
+	}
+	body, encodeErr := json.Marshal(f.d.errorBody(f.call.id, r))
+	if encodeErr != nil {
+		return
+	}
+	_, _ = w.WriteString("event: error\ndata: ")
+	_, _ = w.Write(body)
+	_, _ = w.WriteString("\n\n")
+	_ = w.Flush()
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,361 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/config"
+	"github.com/sequoiarack/sequoiarack/internal/daemon"
+	"github.com/sequoiarack/sequoiarack/internal/ledger"
+	"github.com/sequoiarack/sequoiarack/internal/operator"
+	"github.com/sequoiarack/sequoiarack/internal/settings"
+	"github.com/sequoiarack/sequoiarack/internal/standin"
+)
+
+// Region is the shape of one region with one data centre.
+type Region struct {
+	Name    string
+	Hosts   int
+	Engines int
+	Desks   int
+}
+
+// Shape is the shape of a deployment. The store and the platform are in the
+// first region.
+type Shape struct {
+	Regions  []Region
+	OneWayMs int
+	Engine   standin.EngineOptions
+	// Document changes the configuration before it is committed.
+	Document func(*config.Document)
+	Log      logr.Logger
+}
+
+// The names and secrets that all fleets of this package share.
+const (
+	ModelService = "tender"
+	DeskService  = "desk"
+	OperatorKey  = "operator-secret"
+	CallerKey    = "caller-secret"
+	HomeKey      = "home-secret"
+	fleetKey     = "fleet-key-of-the-stand-ins"
+	claimSecret  = "claim-secret-of-the-stand-ins"
+	callerPort   = 8080
+	peerPort     = 8081
+	targetPort   = 9000
+	platformPort = 2379
+)
+
+// Host is one entry host of a fleet.
+type Host struct {
+	Name     string
+	Region   string
+	Settings settings.Settings
+	Daemon   *daemon.Daemon
+	port     *Port
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Shape    Shape
+	Network  *Network
+	Store    *standin.KeyValue
+	Platform *standin.Platform
+	Engines  map[string]*standin.Engine
+	Desks    map[string]*standin.Service
+	Hosts    []*Host
+
+	subnet int
+	lock   net.Listener
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Start starts a deployment and waits until every host has the configuration.
+func Start(ctx context.Context, shape Shape) (*Fleet, error) {
+	f := &Fleet{
+		Shape: shape, Network: NewNetwork(), Store: standin.NewKeyValue(),
+		Platform: standin.NewPlatform(time.Second, 64<<20),
+		Engines:  map[string]*standin.Engine{}, Desks: map[string]*standin.Service{},
+	}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	if err := f.start(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	if err := f.takeSubnet(); err != nil {
+		return err
+	}
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	if err := f.startTargets(); err != nil {
+		return err
+	}
+	for r, region := range f.Shape.Regions {
+		for n := range region.Hosts {
+			if err := f.startHost(r, n); err != nil {
+				return err
+			}
+		}
+	}
+	if err := f.commitDocument(); err != nil {
+		return err
+	}
+	return f.WaitVersion(f.ctx, 1, f.Hosts)
+}
+
+const subnetTries = 64
+
+// takeSubnet finds a second number of the loopback addresses that no other
+// fleet on this machine uses, and holds it.
+func (f *Fleet) takeSubnet() error {
+	const lowest, count, lockPort = 10, 200, 9999
+	for range subnetTries {
+		f.subnet = lowest + rand.IntN(count)
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", f.subnet, lockPort))
+		if err == nil {
+			f.lock = lock
+			return nil
+		}
+	}
+	return errors.New("fleet: no free loopback addresses")
+}
+
+func (f *Fleet) ip(region, n int) string { return fmt.Sprintf("127.%d.%d.%d", f.subnet, region+1, n) }
+
+const (
+	firstHost     = 1
+	firstEngine   = 100
+	firstDesk     = 200
+	platformHost  = 250
+	platformStore = 251
+)
+
+func (f *Fleet) startPlatform() error {
+	if err := f.Store.Listen(fmt.Sprintf("%s:%d", f.ip(0, platformStore), platformPort)); err != nil {
+		return err
+	}
+	return f.Platform.Listen(fmt.Sprintf("%s:%d", f.ip(0, platformHost), platformPort))
+}
+
+func (f *Fleet) startTargets() error {
+	for r, region := range f.Shape.Regions {
+		for n := range region.Engines {
+			engine := standin.NewEngine(f.Shape.Engine)
+			if err := engine.Listen(fmt.Sprintf("%s:%d", f.ip(r, firstEngine+n), targetPort)); err != nil {
+				return err
+			}
+			f.Engines[fmt.Sprintf("%s-%s-%d", ModelService, region.Name, n+1)] = engine
+		}
+		for n := range region.Desks {
+			desk := standin.NewService()
+			if err := desk.Listen(fmt.Sprintf("%s:%d", f.ip(r, firstDesk+n), targetPort)); err != nil {
+				return err
+			}
+			f.Desks[fmt.Sprintf("%s-%s-%d", DeskService, region.Name, n+1)] = desk
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) hostSettings(r, n int) settings.Settings {
+	s := settings.Default()
+	region := f.Shape.Regions[r].Name
+	ip := f.ip(r, firstHost+n)
+	s.Host, s.Region, s.DataCentre = fmt.Sprintf("%s-%c", region, 'a'+n), region, region+"-1"
+	s.CallerAddress, s.PeerAddress = fmt.Sprintf("%s:%d", ip, callerPort), fmt.Sprintf("%s:%d", ip, peerPort)
+	s.StoreAddresses, s.PlatformAddress = []string{f.Store.Address()}, f.Platform.Address()
+	for i := range f.Shape.Regions {
+		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", f.ip(i, firstHost), peerPort))
+	}
+	s.FleetKeys, s.ClaimSecret = []string{fleetKey}, claimSecret
+	s.BootstrapOperatorDigest = config.Digest(OperatorKey)
+	return s
+}
+
+func (f *Fleet) startHost(r, n int) error {
+	host := &Host{Settings: f.hostSettings(r, n)}
+	host.Name, host.Region = host.Settings.Host, host.Settings.Region
+	f.mu.Lock()
+	f.Hosts = append(f.Hosts, host)
+	f.mu.Unlock()
+	return f.run(host)
+}
+
+func (f *Fleet) run(host *Host) error {
+	host.port = f.Network.Port(host.Settings.LocalIP())
+	log := f.Shape.Log
+	if log.GetSink() == nil {
+		log = logr.Discard()
+	}
+	d, err := daemon.New(host.Settings, daemon.WithNetwork(host.port), daemon.WithLogger(log.WithValues("Host", host.Name)))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	host.Daemon, host.stop, host.ended = d, stop, make(chan error, 1)
+	go func() { host.ended <- d.Run(ctx) }()
+	f.Platform.SetHost(standin.HostState{Host: host.Name, Address: host.Settings.PeerAddress, State: "Live"})
+	return nil
+}
+
+// Restart starts a host again, as a new incarnation.
+func (f *Fleet) Restart(host *Host) error { return f.run(host) }
+
+// Kill ends a host at once.
+func (f *Fleet) Kill(host *Host) {
+	host.port.Kill()
+	host.stop()
+}
+
+// Host returns a host by name.
+func (f *Fleet) Host(name string) *Host {
+	for _, h := range f.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// Region returns the number of a region for the Network.
+func (f *Fleet) Region(name string) int {
+	for i, r := range f.Shape.Regions {
+		if r.Name == name {
+			return i + 1
+		}
+	}
+	return -1
+}
+
+// Document returns the configuration of the fleet.
+func (f *Fleet) Document() config.Document {
+	d := config.Document{
+		Regions: map[string]config.Region{}, Services: map[string]config.Service{}, Targets: map[string]config.Target{},
+		Workspaces: map[string]config.Workspace{}, Keys: map[string]config.Key{}, Links: map[string]config.Link{},
+		Limits: config.DefaultLimits(),
+	}
+	names := make([]string, len(f.Shape.Regions))
+	for i, r := range f.Shape.Regions {
+		names[i] = r.Name
+		d.Regions[r.Name] = config.Region{DataCentres: []string{r.Name + "-1"}}
+		for _, other := range names[:i] {
+			d.Links[min(r.Name, other)+":"+max(r.Name, other)] = config.Link{OneWayMs: f.Shape.OneWayMs, MegabitPerSecond: 2000}
+		}
+		for n := range r.Engines {
+			name := fmt.Sprintf("%s-%s-%d", ModelService, r.Name, n+1)
+			d.Targets[name] = f.target(ModelService, r.Name, f.Engines[name].Address(), f.Shape.Engine.Slots)
+		}
+		for n := range r.Desks {
+			name := fmt.Sprintf("%s-%s-%d", DeskService, r.Name, n+1)
+			d.Targets[name] = f.target(DeskService, r.Name, f.Desks[name].Address(), deskSlots)
+		}
+	}
+	d.Services[ModelService] = config.Service{Kind: config.KindModel, Regions: names, FirstTokenBudgetMs: 2000, LongTokens: 1000}
+	d.Services[DeskService] = config.Service{Kind: config.KindPlain, Regions: names, RepeatableMethods: []string{"GET"}, FirstTokenBudgetMs: 2000}
+	d.Workspaces["mill"] = config.Workspace{Home: names[0], Residency: names}
+	d.Workspaces["home"] = config.Workspace{Home: names[0], Residency: names[:1]}
+	d.Keys["operator"] = config.Key{Role: config.RoleOperator, Digests: []string{config.Digest(OperatorKey)}}
+	d.Keys["buyer"] = config.Key{Role: config.RoleCaller, Workspace: "mill", Digests: []string{config.Digest(CallerKey)}}
+	d.Keys["homebound"] = config.Key{Role: config.RoleCaller, Workspace: "home", Digests: []string{config.Digest(HomeKey)}}
+	if f.Shape.Document != nil {
+		f.Shape.Document(&d)
+	}
+	return d
+}
+
+const deskSlots = 32
+
+func (f *Fleet) target(service, region, address string, slots int) config.Target {
+	return config.Target{Service: service, Region: region, DataCentre: region + "-1", Address: address, Slots: slots}
+}
+
+func (f *Fleet) commitDocument() error {
+	body, err := json.Marshal(f.Document())
+	if err != nil {
+		return errors.Wrap(err, "fleet")
+	}
+	client := operator.NewClient(f.Hosts[0].Settings.CallerAddress, OperatorKey)
+	_, err = client.Patch(f.ctx, ledger.Patch{ID: "first-document", Kind: config.MergePatch, Body: body, Author: "fleet"}, false)
+	return err
+}
+
+// WaitVersion waits until the hosts have at least the version.
+func (f *Fleet) WaitVersion(ctx context.Context, version uint64, hosts []*Host) error {
+	return f.Wait(ctx, func() bool {
+		for _, h := range hosts {
+			if h.Daemon.Version() < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+const (
+	waitPause = 10 * time.Millisecond
+	waitLimit = 20 * time.Second
+)
+
+// Wait waits until a condition holds, for at most 20 seconds.
+func (f *Fleet) Wait(ctx context.Context, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, waitLimit)
+	defer cancel()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return errors.New("fleet: the awaited state did not come")
+		case <-time.After(waitPause):
+		}
+	}
+	return nil
+}
+
+// WaitMembers waits until each of the hosts sees n hosts in use.
+func (f *Fleet) WaitMembers(ctx context.Context, n int, hosts []*Host) error {
+	return f.Wait(ctx, func() bool {
+		for _, h := range hosts {
+			if h.Daemon.HostsInUse() != n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Stop ends everything at once.
+func (f *Fleet) Stop() {
+	f.cancel()
+	for _, h := range f.Hosts {
+		if h.port != nil {
+			h.port.Kill()
+		}
+	}
+	for _, e := range f.Engines {
+		e.Kill()
+	}
+	for _, s := range f.Desks {
+		s.Kill()
+	}
+	f.Store.Kill()
+	f.Platform.Kill()
+	if f.lock != nil {
+		_ = f.lock.Close()
+	}
+}
--- /dev/null
+++ b/internal/gossip/service.go
@@ -0,0 +1,441 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/bulletin"
+	"github.com/sequoiarack/sequoiarack/internal/clock"
+	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/ring"
+	"github.com/sequoiarack/sequoiarack/internal/seal"
+)
+
+const (
+	piggybackBytes   = 400
+	piggybackTimes   = 4 // sends of one fact in heartbeats
+	maxItems         = 8192
+	ringSize         = 1024
+	centreInterval   = time.Second // between heartbeats to other data centres
+	centresPerBeat   = 3
+	syncInterval     = 10 * time.Second
+	syncWhileAlone   = 500 * time.Millisecond
+	readBufferBytes  = 64 << 10
+	farewellInterval = 100 * time.Millisecond
+)
+
+// Fetch reads all facts that the host at a peer address knows.
+type Fetch func(ctx context.Context, address string) ([]bulletin.Item, error)
+
+// View is what the rest of the process sees of the fleet. It is immutable.
+type View struct {
+	Self          member.Info
+	Members       []member.Info
+	Delegate      bool
+	FirstDelegate bool
+	CutCentres    map[string]bool
+}
+
+// Counts tells how much the protocol has sent and received.
+type Counts struct {
+	SentMessages     atomic.Int64
+	SentBytes        atomic.Int64
+	ReceivedMessages atomic.Int64
+	ReceivedBytes    atomic.Int64
+	BadMessages      atomic.Int64
+	DroppedMessages  atomic.Int64
+}
+
+// Service runs the protocol for one host.
+type Service struct {
+	conn    net.PacketConn
+	sealer  *seal.Sealer
+	clock   clock.Clock
+	log     logr.Logger
+	fetch   Fetch
+	seeds   []string
+	onItem  func(bulletin.Item)
+	counts  *Counts
+	view    atomic.Pointer[View]
+	packets *ring.Ring[packet]
+	posts   *ring.Ring[post]
+	leaving *ring.Ring[struct{}]
+	synced  *ring.Ring[[]bulletin.Item]
+	asks    *ring.Ring[chan []bulletin.Item]
+
+	table      *member.Table
+	board      *bulletin.Board
+	beat       uint64
+	nextCentre int
+	lastCentre time.Time
+}
+
+type packet struct {
+	message message
+	bytes   int
+}
+
+type post struct {
+	item   bulletin.Item
+	urgent bool
+}
+
+// Option changes a Service under construction.
+type Option func(*Service)
+
+// WithClock sets the clock.
+func WithClock(c clock.Clock) Option { return func(s *Service) { s.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l logr.Logger) Option { return func(s *Service) { s.log = l } }
+
+// WithSeeds sets the peer addresses that the host joins through.
+func WithSeeds(addresses []string) Option { return func(s *Service) { s.seeds = addresses } }
+
+// WithFetch sets how all facts of another host are read.
+func WithFetch(fetch Fetch) Option { return func(s *Service) { s.fetch = fetch } }
+
+// WithOnItem sets what receives each fact that is news and not about a host.
+func WithOnItem(f func(bulletin.Item)) Option { return func(s *Service) { s.onItem = f } }
+
+// New returns a Service for the host self that receives on conn.
+func New(conn net.PacketConn, sealer *seal.Sealer, self member.Info, options ...Option) *Service {
+	s := &Service{
+		conn: conn, sealer: sealer, clock: clock.System{}, log: logr.Discard(),
+		onItem: func(bulletin.Item) {}, counts: &Counts{},
+		packets: ring.New[packet](ringSize), posts: ring.New[post](ringSize),
+		leaving: ring.New[struct{}](1), synced: ring.New[[]bulletin.Item](1),
+		asks:  ring.New[chan []bulletin.Item](1),
+		board: bulletin.NewBoard(maxItems),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	s.table = member.NewTable(s.clock.Now(), self)
+	s.board.Merge(s.clock.Now(), self.Item())
+	s.publishView()
+	return s
+}
+
+// View returns the newest view of the fleet.
+func (s *Service) View() *View { return s.view.Load() }
+
+// Counts returns the traffic counters.
+func (s *Service) Counts() *Counts { return s.counts }
+
+// Post spreads a fact along with the heartbeats. It is dropped when the ring is
+// full; its owner posts it again.
+func (s *Service) Post(item bulletin.Item) bool { return s.posts.Offer(post{item: item}) }
+
+// PostNow spreads a fact at once.
+func (s *Service) PostNow(item bulletin.Item) bool {
+	return s.posts.Offer(post{item: item, urgent: true})
+}
+
+// Leave tells the fleet that the host is about to stop.
+func (s *Service) Leave() { s.leaving.Offer(struct{}{}) }
+
+// Items returns all facts that the host knows.
+func (s *Service) Items(ctx context.Context) ([]bulletin.Item, error) {
+	reply := make(chan []bulletin.Item, 1)
+	if err := s.asks.Put(ctx, reply); err != nil {
+		return nil, err
+	}
+	select {
+	case items := <-reply:
+		return items, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Receive is the duty that reads datagrams until ctx ends.
+func (s *Service) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, _, err := s.conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "gossip: receive")
+		}
+		s.counts.ReceivedMessages.Add(1)
+		s.counts.ReceivedBytes.Add(int64(n))
+		m, err := decode(buffer[:n], s.sealer)
+		if err != nil {
+			s.counts.BadMessages.Add(1)
+			continue
+		}
+		if !s.packets.Offer(packet{message: m, bytes: n}) {
+			s.counts.DroppedMessages.Add(1)
+		}
+	}
+}
+
+// Sync is the duty that reads the facts of other hosts from time to time, so
+// that lost datagrams do no lasting harm.
+func (s *Service) Sync(ctx context.Context) error {
+	for {
+		if items, ok := s.fetchOnce(ctx); ok {
+			_ = s.synced.Put(ctx, items)
+		}
+		wait := syncInterval
+		if len(s.View().Members) < 2 {
+			wait = syncWhileAlone
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.clock.After(wait):
+		}
+	}
+}
+
+func (s *Service) fetchOnce(ctx context.Context) ([]bulletin.Item, bool) {
+	if s.fetch == nil {
+		return nil, false
+	}
+	address, ok := s.syncPeer()
+	if !ok {
+		return nil, false
+	}
+	items, err := s.fetch(ctx, address)
+	if err != nil {
+		s.log.V(1).Info("Reading the facts of a peer failed.", "Peer", address, "Error", err.Error())
+		return nil, false
+	}
+	return items, true
+}
+
+// syncPeer picks a host at random: of the own data centre, of another one when
+// the host is a delegate and every other time, or a seed while it is alone.
+func (s *Service) syncPeer() (string, bool) {
+	view := s.View()
+	var near, far []string
+	for _, m := range view.Members {
+		switch {
+		case m.Host == view.Self.Host || m.Status == member.Gone:
+		case m.DataCentre == view.Self.DataCentre:
+			near = append(near, m.PeerAddress)
+		default:
+			far = append(far, m.PeerAddress)
+		}
+	}
+	choices := near
+	if len(near) == 0 || (view.Delegate && rand.IntN(2) == 0 && len(far) > 0) {
+		choices = far
+	}
+	if len(near)+len(far) == 0 || (len(near) == 0 && rand.IntN(2) == 0) {
+		choices = s.seeds
+	}
+	if len(choices) == 0 {
+		return "", false
+	}
+	address := choices[rand.IntN(len(choices))]
+	return address, address != view.Self.PeerAddress
+}
+
+// Run is the duty that owns the table and the board, until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	tick := s.clock.After(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-s.packets.Items():
+			s.receive(p.message)
+		case p := <-s.posts.Items():
+			if s.board.Merge(s.clock.Now(), p.item) && p.urgent {
+				s.spread([]bulletin.Item{p.item}, true)
+			}
+		case items := <-s.synced.Items():
+			s.take(items, "", false)
+		case reply := <-s.asks.Items():
+			reply <- s.board.All(bulletin.DataCentre)
+		case <-s.leaving.Items():
+			item := s.table.Leave(s.clock.Now())
+			s.board.Merge(s.clock.Now(), item)
+			s.spread([]bulletin.Item{item}, true)
+			s.publishView()
+		case <-tick:
+			s.tick()
+			tick = s.clock.After(member.HeartbeatInterval)
+		}
+	}
+}
+
+func (s *Service) tick() {
+	now := s.clock.Now()
+	s.board.Sweep(now)
+	news := s.table.Tick(now)
+	for _, item := range news {
+		s.board.Merge(now, item)
+		s.log.Info("A host changed its status.", "Host", item.Key, "By", "monitor")
+	}
+	s.spread(news, true)
+	s.forget()
+	s.heartbeat(now)
+	s.publishView()
+}
+
+// forget drops the facts of hosts that the table has forgotten.
+func (s *Service) forget() {
+	known := map[string]bool{}
+	for _, info := range s.table.All() {
+		known[member.KeyPrefix+info.Host] = true
+	}
+	for _, item := range s.board.All(bulletin.DataCentre) {
+		if member.IsItem(item) && !known[item.Key] {
+			s.board.Delete(item.Key)
+		}
+	}
+}
+
+func (s *Service) heartbeat(now time.Time) {
+	s.beat++
+	near := s.board.Pick(piggybackBytes, piggybackTimes, bulletin.DataCentre)
+	for _, info := range s.table.Successors() {
+		s.send(info.PeerAddress, kindHeartbeat, near)
+	}
+	if len(s.table.Successors()) == 0 {
+		for _, seed := range s.seeds {
+			s.send(seed, kindHeartbeat, []bulletin.Item{s.table.Self().Item()})
+		}
+	}
+	if !s.table.IsDelegate() || now.Sub(s.lastCentre) < centreInterval {
+		return
+	}
+	s.lastCentre = now
+	others := s.table.OtherDelegates()
+	far := s.board.Pick(piggybackBytes, piggybackTimes, bulletin.Fleet)
+	for i := range min(len(others), centresPerBeat) {
+		s.send(others[(s.nextCentre+i)%len(others)].PeerAddress, kindHeartbeat, far)
+	}
+	s.nextCentre += centresPerBeat
+}
+
+func (s *Service) receive(m message) {
+	now := s.clock.Now()
+	s.table.Heard(now, m.From, m.Incarnation)
+	s.table.HeardCentre(now, m.DataCentre)
+	s.take(m.Items, m.DataCentre, m.Kind == kindNews)
+}
+
+// take merges facts from the data centre given, empty for a whole read. What is
+// news and urgent is passed on at once; the rest goes with the heartbeats.
+func (s *Service) take(items []bulletin.Item, from string, urgent bool) {
+	now := s.clock.Now()
+	var news, answers []bulletin.Item
+	for _, item := range items {
+		if !member.IsItem(item) {
+			if s.board.Merge(now, item) {
+				news = append(news, item)
+				s.onItem(item)
+			}
+			continue
+		}
+		fresh, answer := s.takeMember(now, item)
+		if answer != nil {
+			answers = append(answers, *answer)
+		} else if fresh {
+			news = append(news, item)
+		}
+	}
+	s.spread(answers, true)
+	if urgent {
+		s.spread(news, from != s.table.Self().DataCentre)
+	}
+	if len(news)+len(answers) > 0 {
+		s.publishView()
+	}
+}
+
+func (s *Service) takeMember(now time.Time, item bulletin.Item) (bool, *bulletin.Item) {
+	info, err := member.FromItem(item)
+	if err != nil {
+		s.counts.BadMessages.Add(1)
+		return false, nil
+	}
+	fresh, answer := s.table.Apply(now, info)
+	if answer != nil {
+		s.board.Merge(now, *answer)
+		return false, answer
+	}
+	if fresh {
+		s.board.Merge(now, item)
+	}
+	return fresh, nil
+}
+
+// spread sends news at once: to the own data centre when mates is set, and to
+// other data centres when the host is a delegate.
+func (s *Service) spread(items []bulletin.Item, mates bool) {
+	if len(items) == 0 {
+		return
+	}
+	if mates {
+		s.sendAll(s.table.Mates(), items)
+	}
+	if !s.table.IsDelegate() {
+		return
+	}
+	wide := items[:0:0]
+	for _, item := range items {
+		if item.Scope == bulletin.Fleet {
+			wide = append(wide, item)
+		}
+	}
+	s.sendAll(s.table.OtherDelegates(), wide)
+}
+
+func (s *Service) sendAll(hosts []member.Info, items []bulletin.Item) {
+	for _, run := range split(items) {
+		for _, info := range hosts {
+			s.send(info.PeerAddress, kindNews, run)
+		}
+	}
+}
+
+func (s *Service) send(address string, kind messageKind, items []bulletin.Item) {
+	self := s.table.Self()
+	if address == self.PeerAddress {
+		return
+	}
+	data, err := encode(message{
+		Kind: kind, From: self.Host, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Beat: s.beat, Items: items,
+	}, s.sealer)
+	if err != nil {
+		s.log.Error(err, "A message could not be encoded.")
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return
+	}
+	s.counts.SentMessages.Add(1)
+	s.counts.SentBytes.Add(int64(len(data)))
+	_, _ = s.conn.WriteTo(data, to)
+}
+
+func (s *Service) publishView() {
+	now := s.clock.Now()
+	view := &View{
+		Self: s.table.Self(), Members: s.table.All(),
+		Delegate: s.table.IsDelegate(), FirstDelegate: s.table.FirstDelegate(), CutCentres: map[string]bool{},
+	}
+	for _, info := range view.Members {
+		if s.table.Cut(now, info.DataCentre) {
+			view.CutCentres[info.DataCentre] = true
+		}
+	}
+	s.view.Store(view)
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,166 @@
+package ledger
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/config"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+)
+
+// Kind sorts the failures of the package.
+type Kind int
+
+// The kinds.
+const (
+	// Conflict means that the patch is based on another version than the head.
+	Conflict Kind = iota
+	// Refused means that the patch or the document it makes is wrong.
+	Refused
+	// Reused means that the patch's ID belongs to another patch.
+	Reused
+	// Unavailable means that the store could not be asked; nothing changed.
+	Unavailable
+	// Unconfirmed means that the patch may have been accepted.
+	Unconfirmed
+	// WentBack means that the store is behind a version that was in force.
+	WentBack
+	// Diverged means that a record does not follow from the state.
+	Diverged
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	return [...]string{
+		"version conflict", "patch refused", "patch ID reused", "store unavailable",
+		"commit unconfirmed", "store went back", "record diverged",
+	}[k]
+}
+
+// Error is the error type of the package.
+type Error = failure.Error[Kind]
+
+// Patch is what an operator sends.
+type Patch struct {
+	// Base is the version that the patch was made for.
+	Base uint64 `json:"Base"`
+	// ID is unique to the patch; a resent patch carries it again.
+	ID      string           `json:"ID"`
+	Kind    config.PatchKind `json:"Kind"`
+	Body    json.RawMessage  `json:"Body"`
+	Comment string           `json:"Comment,omitempty"`
+	Author  string           `json:"Author,omitempty"`
+}
+
+// Record is an accepted patch with its number.
+type Record struct {
+	Version uint64    `json:"Version"`
+	At      time.Time `json:"At"`
+	// Digest is the SHA-256 digest of the document that the patch made.
+	Digest string `json:"Digest"`
+	Patch
+}
+
+// State is one version of the configuration. It is immutable.
+type State struct {
+	Version uint64
+	ID      string
+	Digest  string
+	Raw     []byte
+	Index   *config.Index
+}
+
+// Empty returns the state before the first patch.
+func Empty() *State {
+	raw := []byte("{}")
+	return &State{Raw: raw, Digest: digest(raw), Index: config.Compile(0, config.Document{Limits: config.DefaultLimits()})}
+}
+
+func digest(raw []byte) string {
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:])
+}
+
+// Propose returns the record and the state that a patch would make.
+func (s *State) Propose(patch Patch, at time.Time) (Record, *State, error) {
+	const op = "propose"
+	if patch.Base != s.Version {
+		return Record{}, nil, failure.Wrap(op, Conflict, errors.Errorf("based on version %d, current is %d", patch.Base, s.Version))
+	}
+	next, err := s.apply(patch)
+	if err != nil {
+		return Record{}, nil, failure.Wrap(op, Refused, err)
+	}
+	return Record{Version: next.Version, At: at, Digest: next.Digest, Patch: patch}, next, nil
+}
+
+// With returns the state after a record that follows this one.
+func (s *State) With(r Record) (*State, error) {
+	const op = "apply record"
+	if r.Version != s.Version+1 {
+		return nil, failure.Wrap(op, Diverged, errors.Errorf("version %d does not follow %d", r.Version, s.Version))
+	}
+	next, err := s.apply(r.Patch)
+	if err != nil {
+		return nil, failure.Wrap(op, Diverged, err)
+	}
+	if next.Digest != r.Digest {
+		return nil, failure.Wrap(op, Diverged, errors.Errorf("version %d makes another document", r.Version))
+	}
+	return next, nil
+}
+
+func (s *State) apply(patch Patch) (*State, error) {
+	raw, err := config.Apply(s.Raw, patch.Kind, patch.Body)
+	if err != nil {
+		return nil, err
+	}
+	return newState(s.Version+1, patch.ID, raw)
+}
+
+func newState(version uint64, id string, raw []byte) (*State, error) {
+	document, err := config.Parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, raw); err != nil {
+		return nil, err
+	}
+	raw = compact.Bytes()
+	return &State{Version: version, ID: id, Digest: digest(raw), Raw: raw, Index: config.Compile(version, document)}, nil
+}
+
+// Snapshot is a whole version on the wire and in the store.
+type Snapshot struct {
+	Version  uint64          `json:"Version"`
+	ID       string          `json:"ID"`
+	Digest   string          `json:"Digest"`
+	Document json.RawMessage `json:"Document"`
+}
+
+// Snapshot returns the state's wire form.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{Version: s.Version, ID: s.ID, Digest: s.Digest, Document: s.Raw}
+}
+
+// State checks a snapshot and returns its state.
+func (s Snapshot) State() (*State, error) {
+	const op = "read snapshot"
+	if s.Version == 0 {
+		return Empty(), nil
+	}
+	state, err := newState(s.Version, s.ID, s.Document)
+	if err != nil {
+		return nil, failure.Wrap(op, Diverged, err)
+	}
+	if state.Digest != s.Digest {
+		return nil, failure.Wrap(op, Diverged, errors.New("digest does not match the document"))
+	}
+	return state, nil
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,256 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiarack/sequoiarack/internal/bulletin"
+)
+
+// Intervals of the protocol.
+const (
+	HeartbeatInterval = 500 * time.Millisecond
+	suspectAfter      = 1600 * time.Millisecond // without a heartbeat, at a monitor
+	goneAfter         = 10 * time.Second        // as a suspect
+	forgetAfter       = 60 * time.Second        // as gone
+	cutAfter          = 8 * time.Second         // without word of a data centre
+)
+
+const delegatesPerDataCentre = 2
+
+// ringOffsets are the distances to the ring successors that monitor a host.
+// Uneven ones spread facts over the ring in few hops.
+var ringOffsets = [...]int{1, 3, 7}
+
+type record struct {
+	info      Info
+	heard     time.Time
+	changed   time.Time
+	monitored bool
+}
+
+// Table is one host's view of the fleet. Its owner is one goroutine.
+type Table struct {
+	self    Info
+	hosts   map[string]*record
+	centres map[string]time.Time // last word of each other data centre
+}
+
+// NewTable returns a Table that knows the host itself.
+func NewTable(now time.Time, self Info) *Table {
+	t := &Table{self: self, hosts: map[string]*record{}, centres: map[string]time.Time{}}
+	t.hosts[self.Host] = &record{info: self, heard: now, changed: now}
+	return t
+}
+
+// Self returns what the host says of itself.
+func (t *Table) Self() Info { return t.self }
+
+// Leave marks the host itself as leaving and returns the item to spread.
+func (t *Table) Leave(now time.Time) bulletin.Item {
+	t.setSelf(now, t.self.WithLeaving())
+	return t.self.Item()
+}
+
+func (t *Table) setSelf(now time.Time, info Info) {
+	t.self = info
+	t.hosts[info.Host] = &record{info: info, heard: now, changed: now}
+}
+
+// Apply takes what is said of a host. The second result is an answer to spread
+// in its place, when the host itself was wrongly suspected.
+func (t *Table) Apply(now time.Time, info Info) (news bool, answer *bulletin.Item) {
+	if info.Host == t.self.Host {
+		return t.applySelf(now, info)
+	}
+	known, ok := t.hosts[info.Host]
+	if ok && known.info.Stamp() >= info.Stamp() {
+		return false, nil
+	}
+	if !ok {
+		known = &record{heard: now}
+		t.hosts[info.Host] = known
+	}
+	if info.Status == Alive {
+		known.heard = now
+	}
+	known.info, known.changed = info, now
+	return true, nil
+}
+
+func (t *Table) applySelf(now time.Time, info Info) (news bool, answer *bulletin.Item) {
+	if info.Stamp() <= t.self.Stamp() {
+		return false, nil
+	}
+	if info.Incarnation > t.self.Incarnation {
+		return false, nil // another process under our name; its operator must settle it
+	}
+	next := t.self
+	next.Refutation = max(next.Refutation, info.Refutation)
+	t.setSelf(now, next.WithRefutation())
+	item := t.self.Item()
+	return true, &item
+}
+
+// Heard notes a heartbeat of a host.
+func (t *Table) Heard(now time.Time, host string, incarnation int64) {
+	r, ok := t.hosts[host]
+	if ok && r.info.Incarnation == incarnation {
+		r.heard = now
+		if r.info.DataCentre != t.self.DataCentre {
+			t.centres[r.info.DataCentre] = now
+		}
+	}
+}
+
+// Tick advances the failure detector and returns the items to spread.
+func (t *Table) Tick(now time.Time) []bulletin.Item {
+	watched := t.monitored()
+	var out []bulletin.Item
+	for name, r := range t.hosts {
+		switch {
+		case name == t.self.Host:
+		case r.info.Status == Suspect && now.Sub(r.changed) > goneAfter:
+			out = append(out, t.change(now, r, Gone))
+		case r.info.Status == Gone && now.Sub(r.changed) > forgetAfter:
+			delete(t.hosts, name)
+		case !watched[name]:
+			r.monitored = false
+		case !r.monitored:
+			r.monitored, r.heard = true, now
+		case r.info.Status == Alive && now.Sub(r.heard) > suspectAfter:
+			out = append(out, t.change(now, r, Suspect))
+		}
+	}
+	return out
+}
+
+func (t *Table) change(now time.Time, r *record, status Status) bulletin.Item {
+	r.info, r.changed = r.info.WithStatus(status), now
+	return r.info.Item()
+}
+
+// ring returns the hosts of the own data centre in ring order, without those
+// that are gone.
+func (t *Table) ring() []string {
+	names := []string{}
+	for name, r := range t.hosts {
+		if r.info.DataCentre == t.self.DataCentre && r.info.Status != Gone {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// Successors returns the hosts that the host sends its heartbeats to.
+func (t *Table) Successors() []Info { return t.neighbours(1) }
+
+func (t *Table) monitored() map[string]bool {
+	out := map[string]bool{}
+	for _, info := range t.neighbours(-1) {
+		out[info.Host] = true
+	}
+	return out
+}
+
+func (t *Table) neighbours(direction int) []Info {
+	ring := t.ring()
+	at := slices.Index(ring, t.self.Host)
+	seen := map[string]bool{t.self.Host: true}
+	var out []Info
+	for _, offset := range ringOffsets {
+		name := ring[((at+direction*offset)%len(ring)+len(ring))%len(ring)]
+		if !seen[name] {
+			seen[name] = true
+			out = append(out, t.hosts[name].info)
+		}
+	}
+	return out
+}
+
+// Mates returns the other hosts of the own data centre that are not gone.
+func (t *Table) Mates() []Info {
+	var out []Info
+	for _, name := range t.ring() {
+		if name != t.self.Host {
+			out = append(out, t.hosts[name].info)
+		}
+	}
+	return out
+}
+
+// IsDelegate reports whether the host speaks for its data centre.
+func (t *Table) IsDelegate() bool {
+	return slices.ContainsFunc(t.delegates(t.self.DataCentre), func(i Info) bool { return i.Host == t.self.Host })
+}
+
+// FirstDelegate reports whether the host is the first of its data centre's delegates.
+func (t *Table) FirstDelegate() bool {
+	list := t.delegates(t.self.DataCentre)
+	return len(list) > 0 && list[0].Host == t.self.Host
+}
+
+// delegates returns the hosts in use of a data centre that rank first in its
+// order of hashes.
+func (t *Table) delegates(centre string) []Info {
+	var list []Info
+	for _, r := range t.hosts {
+		if r.info.DataCentre == centre && r.info.InUse() {
+			list = append(list, r.info)
+		}
+	}
+	slices.SortFunc(list, func(a, b Info) int {
+		return cmp.Compare(xxhash.Sum64String(centre+a.Host), xxhash.Sum64String(centre+b.Host))
+	})
+	return list[:min(len(list), delegatesPerDataCentre)]
+}
+
+// OtherDelegates returns the delegates of the other data centres.
+func (t *Table) OtherDelegates() []Info {
+	centres := map[string]bool{}
+	for _, r := range t.hosts {
+		if r.info.DataCentre != t.self.DataCentre {
+			centres[r.info.DataCentre] = true
+		}
+	}
+	names := make([]string, 0, len(centres))
+	for name := range centres {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var out []Info
+	for _, name := range names {
+		out = append(out, t.delegates(name)...)
+	}
+	return out
+}
+
+// All returns every known host in order of name.
+func (t *Table) All() []Info {
+	out := make([]Info, 0, len(t.hosts))
+	for _, r := range t.hosts {
+		out = append(out, r.info)
+	}
+	slices.SortFunc(out, func(a, b Info) int { return cmp.Compare(a.Host, b.Host) })
+	return out
+}
+
+// HeardCentre notes a word from another data centre, also through a delegate of our own.
+func (t *Table) HeardCentre(now time.Time, centre string) {
+	if centre != t.self.DataCentre {
+		t.centres[centre] = now
+	}
+}
+
+// Cut reports whether another data centre has been silent for so long that the
+// link to it counts as cut. Only delegates hear from other data centres.
+func (t *Table) Cut(now time.Time, centre string) bool {
+	heard, ok := t.centres[centre]
+	return ok && now.Sub(heard) > cutAfter
+}
--- /dev/null
+++ b/internal/placement/scheduler.go
@@ -0,0 +1,429 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sequoiarack/sequoiarack/internal/affinity"
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/queue"
+	"github.com/sequoiarack/sequoiarack/internal/straggler"
+)
+
+const (
+	longWait        = 5 * time.Second // after which a long call goes first
+	holdDecay       = 0.05
+	affinityBonus   = 0.25 // of a target's slots, for each level of a prefix
+	affinityEntries = 16384
+	minRetryAfter   = 1 // second
+	maxRetryAfter   = 60
+)
+
+// Options set the bounds of a Scheduler.
+type Options struct {
+	Sharing         Sharing
+	Hosts           int // that share the targets
+	MaxQueued       int
+	LongSlotShare   float64
+	MaxEjectedShare float64
+	Random          *rand.Rand
+}
+
+// Scheduler places the calls of one host. Its owner is one goroutine.
+type Scheduler struct {
+	options  Options
+	services map[string]*service
+	replicas map[string]*replica
+	placed   map[uint64]placedCall
+	queued   int
+}
+
+type service struct {
+	replicas []*replica
+	queue    *queue.Queue[Ask]
+	detector *straggler.Detector
+	affinity *affinity.Index
+	hold     [2]float64 // mean seconds on a slot, by class
+}
+
+type placedCall struct {
+	replica *replica
+	class   core.Class
+	at      time.Time
+	alone   bool
+}
+
+// NewScheduler returns a Scheduler without targets.
+func NewScheduler(options Options) *Scheduler {
+	return &Scheduler{
+		options: options, services: map[string]*service{},
+		replicas: map[string]*replica{}, placed: map[uint64]placedCall{},
+	}
+}
+
+// SetOptions changes the bounds. The random source stays.
+func (s *Scheduler) SetOptions(options Options) {
+	options.Random = s.options.Random
+	s.options = options
+	for _, svc := range s.services {
+		svc.detector.SetMaxShare(options.MaxEjectedShare)
+	}
+}
+
+// SetTargets replaces the set of targets. Calls on targets that are gone run on.
+func (s *Scheduler) SetTargets(targets []Target) {
+	for _, svc := range s.services {
+		svc.replicas = svc.replicas[:0]
+	}
+	kept := make(map[string]*replica, len(targets))
+	for _, target := range targets {
+		r := s.replicas[target.Name]
+		if r == nil || r.Address != target.Address {
+			r = &replica{}
+		}
+		r.Target = target
+		kept[target.Name] = r
+		svc := s.service(target.Service)
+		svc.replicas = append(svc.replicas, r)
+	}
+	for name, r := range s.replicas {
+		if kept[name] == nil {
+			s.service(r.Service).detector.Forget(name)
+		}
+	}
+	s.replicas = kept
+}
+
+func (s *Scheduler) service(name string) *service {
+	svc := s.services[name]
+	if svc == nil {
+		svc = &service{
+			queue:    queue.New[Ask](longWait),
+			detector: straggler.NewDetector(s.options.MaxEjectedShare),
+			affinity: affinity.NewIndex(affinityEntries),
+		}
+		s.services[name] = svc
+	}
+	return svc
+}
+
+// Submit decides on a new call.
+func (s *Scheduler) Submit(now time.Time, ask Ask) Decision {
+	svc := s.services[ask.Service]
+	if svc == nil || !svc.anyUsable(now) {
+		return refuse(ask.ID, core.ReasonNoTarget, "no target of the service is in use here", minRetryAfter)
+	}
+	if !s.overtaken(now, svc, ask.Class) {
+		if r := s.choose(now, svc, &ask); r != nil {
+			return s.grant(now, svc, ask, r)
+		}
+	}
+	if s.queued >= s.options.MaxQueued {
+		return refuse(ask.ID, core.ReasonOverloaded, "the queue is full", retryAfter(s.wait(now, svc, ask)))
+	}
+	if wait := s.wait(now, svc, ask); now.Add(wait).After(ask.Deadline) {
+		return refuse(ask.ID, core.ReasonBudget, "the wait would exceed the budget", retryAfter(wait-ask.Deadline.Sub(now)))
+	}
+	svc.queue.Push(queue.Item[Ask]{
+		Value: ask, Workspace: ask.Workspace, Class: ask.Class, Cost: ask.Tokens, Arrived: ask.Arrived, Deadline: ask.Deadline,
+	})
+	s.queued++
+	return Decision{ID: ask.ID, Verdict: Queued}
+}
+
+// overtaken reports whether calls that wait already go before a new one.
+func (s *Scheduler) overtaken(now time.Time, svc *service, class core.Class) bool {
+	if svc.queue.Len(class) > 0 {
+		return true
+	}
+	return svc.queue.Len(1-class) > 0 && svc.queue.Order(now)[0] != class
+}
+
+func refuse(id uint64, reason core.Reason, message string, retryAfter int) Decision {
+	return Decision{ID: id, Verdict: Refused, Refusal: &core.Refusal{
+		Status: statusOf(reason), Reason: reason, Message: message, Outcome: core.NotRun, RetryAfter: retryAfter,
+	}}
+}
+
+func statusOf(reason core.Reason) int {
+	const (
+		serviceUnavailable = 503
+		tooManyRequests    = 429
+	)
+	if reason == core.ReasonNoTarget {
+		return serviceUnavailable
+	}
+	return tooManyRequests
+}
+
+func retryAfter(wait time.Duration) int {
+	return min(max(int(math.Ceil(wait.Seconds())), minRetryAfter), maxRetryAfter)
+}
+
+// wait estimates how long the call would queue.
+func (s *Scheduler) wait(now time.Time, svc *service, ask Ask) time.Duration {
+	slots := 0
+	for _, r := range svc.replicas {
+		if r.usable(now) {
+			slots += r.slots(now, s.options.Sharing, s.options.Hosts)
+		}
+	}
+	hold := svc.hold[ask.Class]
+	if slots == 0 || hold == 0 {
+		return 0
+	}
+	if ask.Class == core.Long {
+		slots = longCap(slots, s.options.LongSlotShare)
+	}
+	// A workspace with a share of the queue waits for its own calls and for one
+	// of each other workspace between two of them.
+	own := svc.queue.LenOf(ask.Workspace)
+	ahead := min(svc.queue.Len(ask.Class), (own+1)*max(1, svc.queue.Workspaces(ask.Class)))
+	return time.Duration(float64(ahead) * hold / float64(slots) * float64(time.Second))
+}
+
+func (svc *service) anyUsable(now time.Time) bool {
+	return slices.ContainsFunc(svc.replicas, func(r *replica) bool { return r.usable(now) })
+}
+
+// choose returns the target for the call, or nil when all are full.
+func (s *Scheduler) choose(now time.Time, svc *service, ask *Ask) *replica {
+	if s.options.Sharing == TwoChoices {
+		return s.chooseOfTwo(now, svc, ask)
+	}
+	var best *replica
+	bestScore := math.Inf(1)
+	start := s.options.Random.IntN(max(1, len(svc.replicas)))
+	for i := range svc.replicas {
+		r := svc.replicas[(start+i)%len(svc.replicas)]
+		if !s.fits(now, svc, r, ask) {
+			continue
+		}
+		if score := s.score(now, svc, r, ask); score < bestScore {
+			best, bestScore = r, score
+		}
+	}
+	return best
+}
+
+// chooseOfTwo compares two random targets that fit, so that hosts with the
+// same late reports do not all pick the same one.
+func (s *Scheduler) chooseOfTwo(now time.Time, svc *service, ask *Ask) *replica {
+	var first, second *replica
+	seen := 0
+	for _, r := range svc.replicas {
+		if !s.fits(now, svc, r, ask) {
+			continue
+		}
+		seen++
+		switch pick := s.options.Random.IntN(seen); {
+		case seen == 1:
+			first = r
+		case seen == 2:
+			second = r
+		case pick == 0:
+			first = r
+		case pick == 1:
+			second = r
+		}
+	}
+	if second == nil || s.score(now, svc, first, ask) <= s.score(now, svc, second, ask) {
+		return first
+	}
+	return second
+}
+
+// fits reports whether the call may start on the target now.
+func (s *Scheduler) fits(now time.Time, svc *service, r *replica, ask *Ask) bool {
+	if !r.usable(now) || r.alone || svc.detector.Ejected(now, r.Name) || slices.Contains(ask.Avoid, r.Name) {
+		return false
+	}
+	if ask.Alone {
+		return r.busy(now, s.options.Sharing) == 0
+	}
+	slots := r.slots(now, s.options.Sharing, s.options.Hosts)
+	if ask.Class == core.Long && r.own[core.Long] >= longCap(slots, s.options.LongSlotShare) {
+		return false
+	}
+	return r.busy(now, s.options.Sharing) < slots
+}
+
+// score is the share of slots in use, less what a warm cache is worth.
+func (s *Scheduler) score(now time.Time, svc *service, r *replica, ask *Ask) float64 {
+	busy := float64(r.busy(now, s.options.Sharing)) / float64(r.Slots)
+	return busy - affinityBonus*float64(svc.affinity.Match(ask.Prefix, r.Name))
+}
+
+func (s *Scheduler) grant(now time.Time, svc *service, ask Ask, r *replica) Decision {
+	r.own[ask.Class]++
+	r.alone = r.alone || ask.Alone
+	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, at: now, alone: ask.Alone}
+	svc.affinity.Stored(ask.Prefix, r.Name)
+	return Decision{ID: ask.ID, Verdict: Granted, Target: r.Target, Alone: ask.Alone}
+}
+
+// Release frees the slot of a call that has ended.
+func (s *Scheduler) Release(now time.Time, id uint64) {
+	call, ok := s.placed[id]
+	if !ok {
+		return
+	}
+	delete(s.placed, id)
+	call.replica.own[call.class]--
+	if call.alone {
+		call.replica.alone = false
+	}
+	svc := s.service(call.replica.Service)
+	held := now.Sub(call.at).Seconds()
+	if svc.hold[call.class] == 0 {
+		svc.hold[call.class] = held
+	}
+	svc.hold[call.class] += holdDecay * (held - svc.hold[call.class])
+}
+
+// Cancel takes a waiting call out of the queue and reports whether it was there.
+func (s *Scheduler) Cancel(name string, id uint64) bool {
+	svc := s.services[name]
+	if svc == nil {
+		return false
+	}
+	removed := svc.queue.Remove(func(i queue.Item[Ask]) bool { return i.Value.ID == id })
+	s.queued -= len(removed)
+	return len(removed) > 0
+}
+
+// Poll places waiting calls as far as there is room, and refuses those whose
+// deadline has passed or whose service has lost its targets.
+func (s *Scheduler) Poll(now time.Time) []Decision {
+	if s.queued == 0 {
+		return nil
+	}
+	var out []Decision
+	for _, name := range sortedNames(s.services) {
+		svc := s.services[name]
+		for _, item := range svc.queue.Expired(now) {
+			out = append(out, refuse(item.Value.ID, core.ReasonBudget, "the wait exceeded the budget", retryAfter(s.wait(now, svc, item.Value))))
+			s.queued--
+		}
+		for _, class := range svc.queue.Order(now) {
+			out = s.drainClass(now, svc, class, out)
+		}
+	}
+	return out
+}
+
+func (s *Scheduler) drainClass(now time.Time, svc *service, class core.Class, out []Decision) []Decision {
+	for svc.queue.Len(class) > 0 {
+		probe := Ask{Class: class}
+		if s.choose(now, svc, &probe) == nil {
+			return out
+		}
+		item, _ := svc.queue.Pop(class)
+		s.queued--
+		r := s.choose(now, svc, &item.Value)
+		if r == nil {
+			// The call avoids the targets that have room, so that it goes back
+			// to wait and the class with it.
+			svc.queue.Push(item)
+			s.queued++
+			return out
+		}
+		out = append(out, s.grant(now, svc, item.Value, r))
+	}
+	return out
+}
+
+// Report takes a load report of a target.
+func (s *Scheduler) Report(now time.Time, target string, load Load) {
+	if r := s.replicas[target]; r != nil {
+		r.report(now, load)
+	}
+}
+
+// Observe takes what a call saw of a target's speed.
+func (s *Scheduler) Observe(now time.Time, target string, signal straggler.Signal, sample time.Duration) {
+	if r := s.replicas[target]; r != nil {
+		s.service(r.Service).detector.Observe(now, target, signal, sample)
+	}
+}
+
+// Down takes a target out of use for a while after it could not be reached.
+func (s *Scheduler) Down(now time.Time, target string) {
+	if r := s.replicas[target]; r != nil {
+		r.downUntil = now.Add(downFor)
+		r.returnedAt = r.downUntil
+		r.others = 0
+		s.service(r.Service).affinity.Dropped(target)
+	}
+}
+
+// Up notes that a target answers again.
+func (s *Scheduler) Up(now time.Time, target string) {
+	if r := s.replicas[target]; r != nil && now.Before(r.downUntil) {
+		r.downUntil = now
+		r.returnedAt = now
+	}
+}
+
+// Left takes a target out of use that refuses work as leaving. It stays out
+// until its address changes or the fleet is told of its return.
+func (s *Scheduler) Left(target string, left bool) {
+	if r := s.replicas[target]; r != nil {
+		r.leavingSeen = left
+	}
+}
+
+// Summarize tells how busy the targets of a service are.
+func (s *Scheduler) Summarize(now time.Time, name string) Summary {
+	svc := s.services[name]
+	if svc == nil {
+		return Summary{}
+	}
+	out := Summary{Queued: svc.queue.Len(core.Short) + svc.queue.Len(core.Long)}
+	for _, r := range svc.replicas {
+		if !r.usable(now) {
+			continue
+		}
+		out.Usable++
+		out.Slots += r.slots(now, s.options.Sharing, s.options.Hosts)
+		out.Busy += r.busy(now, s.options.Sharing)
+	}
+	out.WaitMs = int(s.wait(now, svc, Ask{Class: core.Short}).Milliseconds())
+	return out
+}
+
+// TargetState is the row of a target in a dump.
+type TargetState struct {
+	Name    string `json:"Name"`
+	Service string `json:"Service"`
+	Own     int    `json:"Own"`
+	Others  int    `json:"Others"`
+	Slots   int    `json:"Slots"`
+	Usable  bool   `json:"Usable"`
+	Leaving bool   `json:"Leaving"`
+	Ejected bool   `json:"Ejected"`
+}
+
+// Dump returns a row for each target in order of name.
+func (s *Scheduler) Dump(now time.Time) []TargetState {
+	out := make([]TargetState, 0, len(s.replicas))
+	for _, name := range sortedNames(s.replicas) {
+		r := s.replicas[name]
+		out = append(out, TargetState{
+			Name: name, Service: r.Service, Own: r.ownTotal(), Others: r.others, Slots: r.Slots, Usable: r.usable(now),
+			Leaving: r.Leaving || r.leavingSeen, Ejected: s.service(r.Service).detector.Ejected(now, name),
+		})
+	}
+	return out
+}
+
+func sortedNames[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/seal/seal.go
@@ -0,0 +1,67 @@
+// Package seal authenticates the messages between hosts with keys that all
+// hosts share, and digests what may not be stored in the clear. A list of keys
+// allows a rotation: the first seals, all of them open.
+package seal
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+const sealBytes = 16
+
+// SealedBytes is the length of a seal in hexadecimal digits.
+const SealedBytes = 2 * sealBytes
+
+// Sealer seals and checks messages.
+type Sealer struct {
+	keys [][]byte
+}
+
+// New returns a Sealer with at least one key.
+func New(keys ...string) *Sealer {
+	s := &Sealer{}
+	for _, key := range keys {
+		s.keys = append(s.keys, []byte(key))
+	}
+	return s
+}
+
+// Seal returns the seal of the parts, which it keeps apart from one another.
+func (s *Sealer) Seal(parts ...[]byte) string {
+	return hex.EncodeToString(mac(s.keys[0], parts)[:sealBytes])
+}
+
+// Check reports whether the seal was made with one of the keys.
+func (s *Sealer) Check(seal string, parts ...[]byte) bool {
+	given, err := hex.DecodeString(seal)
+	if err != nil || len(given) != sealBytes {
+		return false
+	}
+	for _, key := range s.keys {
+		if hmac.Equal(given, mac(key, parts)[:sealBytes]) {
+			return true
+		}
+	}
+	return false
+}
+
+// Digest returns a keyed digest of the parts in hexadecimal digits.
+func (s *Sealer) Digest(parts ...[]byte) string {
+	return hex.EncodeToString(mac(s.keys[0], parts))
+}
+
+func mac(key []byte, parts [][]byte) []byte {
+	h := hmac.New(sha256.New, key)
+	var length [8]byte
+	for _, part := range parts {
+		n := len(part)
+		for i := range length {
+			length[i] = byte(n >> (8 * i))
+		}
+		_, _ = h.Write(length[:])
+		_, _ = h.Write(part)
+	}
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,269 @@
+// Package settings reads the settings of a daemon: a JSON file, overridden by
+// the environment, overridden by flags. Every wrong setting is reported at
+// once.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+)
+
+// Kind sorts the failures of the package.
+type Kind int
+
+// The kinds.
+const (
+	Unreadable Kind = iota
+	Malformed
+	Invalid
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	return [...]string{"unreadable settings", "malformed settings", "wrong settings"}[k]
+}
+
+// Error is the error type of the package.
+type Error = failure.Error[Kind]
+
+// Settings are what a daemon must know to start. All else is configuration.
+type Settings struct {
+	// Host is the host's own name, unique in the fleet.
+	Host       string `json:"Host"`
+	Region     string `json:"Region"`
+	DataCentre string `json:"DataCentre"`
+	// CallerAddress is where callers and operators connect, as IP:port.
+	CallerAddress string `json:"CallerAddress"`
+	// PeerAddress is where other hosts connect, over TCP and UDP.
+	PeerAddress string `json:"PeerAddress"`
+	// StoreAddresses are the endpoints of the key-value service.
+	StoreAddresses []string `json:"StoreAddresses"`
+	// PlatformAddress serves the host list and the client directory.
+	PlatformAddress string `json:"PlatformAddress,omitempty"`
+	// Seeds are the peer addresses of hosts to join through.
+	Seeds []string `json:"Seeds,omitempty"`
+	// FleetKeys authenticate the hosts to each other; the first seals.
+	FleetKeys []string `json:"FleetKeys"`
+	// ClaimSecret keys the digests that stand for requests. All hosts have the
+	// same, and it does not change while claims are kept.
+	ClaimSecret string `json:"ClaimSecret"`
+	// BootstrapOperatorDigest admits an operator while the configuration has
+	// no key of one.
+	BootstrapOperatorDigest string `json:"BootstrapOperatorDigest,omitempty"`
+	// DrainSeconds bounds a graceful shutdown.
+	DrainSeconds int `json:"DrainSeconds"`
+	// LogLevel is 0 for the usual messages and 1 for more.
+	LogLevel int `json:"LogLevel,omitempty"`
+}
+
+// Default returns the settings that need not be given.
+func Default() Settings { return Settings{DrainSeconds: 600} }
+
+// LocalIP returns the IP of the peer address, from which connections are opened.
+func (s Settings) LocalIP() string {
+	host, _, err := net.SplitHostPort(s.PeerAddress)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+// Problem is one wrong setting.
+type Problem struct {
+	Field    string
+	Expected string
+}
+
+// Problems is every wrong setting.
+type Problems []Problem
+
+// Error lists all problems, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Field + ": " + problem.Expected
+	}
+	return strings.Join(lines, "\n")
+}
+
+// field couples a setting with its flag.
+type field struct {
+	name  string
+	flag  string
+	usage string
+	set   func(s *Settings, value string) error
+}
+
+func text(target func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		*target(s) = value
+		return nil
+	}
+}
+
+func list(target func(*Settings) *[]string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		*target(s) = strings.Split(value, ",")
+		return nil
+	}
+}
+
+func number(target func(*Settings) *int) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		if err := json.Unmarshal([]byte(value), target(s)); err != nil {
+			return errors.Errorf("expected a whole number, got %q", value)
+		}
+		return nil
+	}
+}
+
+var fields = []field{
+	{"Host", "host", "name of this host", text(func(s *Settings) *string { return &s.Host })},
+	{"Region", "region", "region of this host", text(func(s *Settings) *string { return &s.Region })},
+	{"DataCentre", "data-centre", "data centre of this host", text(func(s *Settings) *string { return &s.DataCentre })},
+	{"CallerAddress", "caller-address", "IP:port for callers and operators", text(func(s *Settings) *string { return &s.CallerAddress })},
+	{"PeerAddress", "peer-address", "IP:port for other hosts, TCP and UDP", text(func(s *Settings) *string { return &s.PeerAddress })},
+	{"StoreAddresses", "store-addresses", "endpoints of the key-value service, joined by commas", list(func(s *Settings) *[]string { return &s.StoreAddresses })},
+	{"PlatformAddress", "platform-address", "IP:port of the host list and the client directory", text(func(s *Settings) *string { return &s.PlatformAddress })},
+	{"Seeds", "seeds", "peer addresses to join through, joined by commas", list(func(s *Settings) *[]string { return &s.Seeds })},
+	{"FleetKeys", "fleet-keys", "keys shared by the hosts, joined by commas", list(func(s *Settings) *[]string { return &s.FleetKeys })},
+	{"ClaimSecret", "claim-secret", "secret that keys the digests of requests", text(func(s *Settings) *string { return &s.ClaimSecret })},
+	{"BootstrapOperatorDigest", "bootstrap-operator-digest", "SHA-256 digest of the first operator's key", text(func(s *Settings) *string { return &s.BootstrapOperatorDigest })},
+	{"DrainSeconds", "drain-seconds", "longest graceful shutdown, in seconds", number(func(s *Settings) *int { return &s.DrainSeconds })},
+	{"LogLevel", "log-level", "0 for the usual messages, 1 for more", number(func(s *Settings) *int { return &s.LogLevel })},
+}
+
+// Flags are the settings that were given by flag or environment.
+type Flags struct {
+	set    *flag.FlagSet
+	file   *string
+	values map[string]*string
+}
+
+// EnvPrefix starts the environment variables of settings.
+const EnvPrefix = "SEQUOIARACK"
+
+// NewFlags defines a flag for each setting and one for the file.
+func NewFlags(set *flag.FlagSet) *Flags {
+	f := &Flags{set: set, values: map[string]*string{}}
+	f.file = set.String("settings", "", "JSON file with settings")
+	for _, item := range fields {
+		f.values[item.flag] = set.String(item.flag, "", item.usage)
+	}
+	return f
+}
+
+// Options returns how ff is to read the flags.
+func Options() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix(EnvPrefix)} }
+
+// Load returns the settings, or every error in them.
+func (f *Flags) Load() (Settings, error) {
+	const op = "load settings"
+	settings := Default()
+	if *f.file != "" {
+		data, err := os.ReadFile(*f.file)
+		if err != nil {
+			return Settings{}, failure.Wrap(op, Unreadable, err)
+		}
+		if settings, err = Parse(data); err != nil {
+			return Settings{}, err
+		}
+	}
+	problems := f.override(&settings)
+	problems = append(problems, Check(settings)...)
+	if len(problems) > 0 {
+		return Settings{}, failure.Wrap(op, Invalid, problems)
+	}
+	return settings, nil
+}
+
+func (f *Flags) override(settings *Settings) Problems {
+	given := map[string]bool{}
+	f.set.Visit(func(item *flag.Flag) { given[item.Name] = true })
+	var problems Problems
+	for _, item := range fields {
+		if !given[item.flag] {
+			continue
+		}
+		if err := item.set(settings, *f.values[item.flag]); err != nil {
+			problems = append(problems, Problem{item.name, err.Error()})
+		}
+	}
+	return problems
+}
+
+// Parse reads a settings file without checking it. Unknown fields are refused.
+func Parse(data []byte) (Settings, error) {
+	const op = "parse settings"
+	settings := Default()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, failure.Wrap(op, Malformed, err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Settings{}, failure.Wrap(op, Malformed, errors.New("expected one JSON object and nothing after it"))
+	}
+	return settings, nil
+}
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+const minSecretBytes = 16
+
+// Check returns every wrong setting.
+func Check(s Settings) Problems {
+	var problems Problems
+	require := func(ok bool, name, format string, args ...any) {
+		if !ok {
+			problems = append(problems, Problem{name, fmt.Sprintf(format, args...)})
+		}
+	}
+	const nameText = "expected a name of lower-case letters, digits, dots and dashes, got %q"
+	require(namePattern.MatchString(s.Host), "Host", nameText, s.Host)
+	require(namePattern.MatchString(s.Region), "Region", nameText, s.Region)
+	require(namePattern.MatchString(s.DataCentre), "DataCentre", nameText, s.DataCentre)
+	require(isAddress(s.CallerAddress), "CallerAddress", "expected IP:port, got %q", s.CallerAddress)
+	require(isAddress(s.PeerAddress), "PeerAddress", "expected IP:port, got %q", s.PeerAddress)
+	require(s.CallerAddress == "" || s.CallerAddress != s.PeerAddress, "PeerAddress", "expected another address than CallerAddress")
+	require(len(s.StoreAddresses) > 0, "StoreAddresses", "expected at least one address")
+	for i, address := range s.StoreAddresses {
+		require(isAddress(address), fmt.Sprintf("StoreAddresses[%d]", i), "expected IP:port, got %q", address)
+	}
+	for i, address := range s.Seeds {
+		require(isAddress(address), fmt.Sprintf("Seeds[%d]", i), "expected IP:port, got %q", address)
+	}
+	require(s.PlatformAddress == "" || isAddress(s.PlatformAddress), "PlatformAddress", "expected IP:port or nothing, got %q", s.PlatformAddress)
+	require(len(s.FleetKeys) > 0, "FleetKeys", "expected at least one key")
+	for i, key := range s.FleetKeys {
+		require(len(key) >= minSecretBytes, fmt.Sprintf("FleetKeys[%d]", i), "expected at least %d characters", minSecretBytes)
+	}
+	require(len(s.ClaimSecret) >= minSecretBytes, "ClaimSecret", "expected at least %d characters", minSecretBytes)
+	require(s.BootstrapOperatorDigest == "" || digestPattern.MatchString(s.BootstrapOperatorDigest),
+		"BootstrapOperatorDigest", "expected a SHA-256 digest in 64 hexadecimal digits")
+	require(s.DrainSeconds > 0, "DrainSeconds", "expected positive seconds, got %d", s.DrainSeconds)
+	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Field < problems[j].Field })
+	return problems
+}
+
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
