--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -110,6 +110,18 @@
 	close(e.done)
 }
 
+// Forget drops a key that another process holds. Those who wait for it get the
+// answer that was got from there.
+func (b *Book) Forget(digest string, e *Entry, answer Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.entries[digest] == e {
+		delete(b.entries, digest)
+	}
+	e.answer = answer
+	close(e.done)
+}
+
 // Running returns the number of calls that have not ended.
 func (b *Book) Running() int {
 	b.mu.Lock()
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -58,3 +58,20 @@
 	}
 	return out, nil
 }
+
+// Canonical returns the one form of a JSON document, with sorted names and no
+// white space, so that hosts agree on its digest.
+func Canonical(data []byte) ([]byte, error) {
+	const op = "canonical form"
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var v any
+	if err := decoder.Decode(&v); err != nil {
+		return nil, &Error{Op: op, Kind: Malformed, Cause: err}
+	}
+	out, err := json.Marshal(v)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: Malformed, Cause: err}
+	}
+	return out, nil
+}
--- a/internal/daemon/keyed.go
+++ b/internal/daemon/keyed.go
@@ -91,7 +91,7 @@
 		f.call.claimed = false
 		var other *result
 		if held, other = acquire(); other != nil {
-			f.d.book.Finish(digest, entry, claim.Answer{Outcome: core.NotRun})
+			f.d.book.Forget(digest, entry, f.answerElsewhere(*other))
 			f.finish(ctx, *other)
 			return
 		}
@@ -134,6 +134,15 @@
 	return claim.Answer{Outcome: r.outcome()}
 }
 
+// answerElsewhere returns what those who wait here for a key are told when
+// another process has it, or when that cannot be found out.
+func (f *flight) answerElsewhere(r result) claim.Answer {
+	if r.refusal != nil {
+		r.refusal = f.call.settled(r.refusal)
+	}
+	return answerOf(r)
+}
+
 // replay waits for the first send of a call and gives its answer again.
 func (f *flight) replay(ctx *fasthttp.RequestCtx, entry *claim.Entry) result {
 	select {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -128,11 +127,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var compact bytes.Buffer
-	if err := json.Compact(&compact, raw); err != nil {
+	raw, err = config.Canonical(raw)
+	if err != nil {
 		return nil, err
 	}
-	raw = compact.Bytes()
 	return &State{Version: version, ID: id, Digest: digest(raw), Raw: raw, Index: config.Compile(version, document)}, nil
 }
 
