--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Tools are pinned here and installed into bin/, which git ignores.
+GOLANGCI_LINT_VERSION := v2.15.0
+GINKGO_VERSION := v2.34.0
+BIN := $(CURDIR)/bin
+
+.PHONY: demo test lint format build fuzz bench clean
+
+demo: build
+	$(BIN)/sequoiarack demo
+
+test: $(BIN)/ginkgo
+	go vet ./...
+	$(BIN)/ginkgo run -r --race --randomize-all --seed 1 --no-color --timeout 10m
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+lint: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint run ./...
+	$(BIN)/golangci-lint fmt --diff ./...
+
+format: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint fmt ./...
+
+bench: build
+	$(BIN)/sequoiarack-bench relay --json
+	$(BIN)/sequoiarack-bench policy --scenario all --json
+
+$(BIN)/golangci-lint:
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+$(BIN)/ginkgo:
+	GOBIN=$(BIN) go install github.com/onsi/ginkgo/v2/ginkgo@$(GINKGO_VERSION)
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/cmd/sequoiarack-bench/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd has the subcommands of sequoiarack-bench, one a file.
+package cmd
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -64,7 +64,9 @@
 	d.tellDirectory(ctx, fasthttp.MethodPut, body)
 }
 
-func (d *Daemon) leaveDirectory(ctx context.Context) { d.tellDirectory(ctx, fasthttp.MethodDelete, nil) }
+func (d *Daemon) leaveDirectory(ctx context.Context) {
+	d.tellDirectory(ctx, fasthttp.MethodDelete, nil)
+}
 
 func (d *Daemon) tellDirectory(ctx context.Context, method string, body []byte) {
 	address := d.settings.PlatformAddress
--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -125,6 +125,7 @@
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var bodies []string
+	runs := 0
 	var falseNotRun error
 	for _, host := range hosts {
 		wait.Go(func() {
@@ -135,6 +136,7 @@
 			switch {
 			case err == nil && a.Outcome == client.Run:
 				bodies = append(bodies, string(a.Body))
+				runs++
 			case errors.As(err, &failed) && failed.Outcome == client.NotRun:
 				falseNotRun = err
 			}
@@ -148,7 +150,7 @@
 	if falseNotRun != nil {
 		return 0, errors.Wrap(falseNotRun, "a booking that was made was said not to have run")
 	}
-	return len(hosts), nil
+	return runs, nil
 }
 
 // residencyHolds loads the home region of a caller whose data may only be
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -343,7 +343,7 @@
 		Waiting: len(d.waiting), Quarantined: d.register.Len(),
 	}
 	for _, name := range m.services {
-		out.Services[name] = d.scheduler.Summarize(now, name)
+		out.Services[name] = d.scheduler.Summarise(now, name)
 	}
 	m.reply <- out
 }
@@ -368,7 +368,7 @@
 }
 
 func (m summaryMessage) apply(d *Dispatcher, now time.Time) {
-	m.reply <- d.scheduler.Summarize(now, m.service)
+	m.reply <- d.scheduler.Summarise(now, m.service)
 }
 
 // Summary tells how busy the targets of a service are.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -170,7 +171,6 @@
 	pool  *Pool
 	conn  *conn
 	stop  func() bool
-	body  *bufio.Reader
 	raw   io.Reader
 	state bodyState
 }
@@ -201,7 +201,7 @@
 	status := r.Header.StatusCode()
 	switch {
 	case head, status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified, length == 0:
-		r.finish(true)
+		r.finish()
 		return eof{}
 	case length > 0:
 		return &exactReader{from: r.conn.reader, left: length}
@@ -290,8 +290,8 @@
 	}
 	n, err := r.raw.Read(b)
 	switch {
-	case err == io.EOF:
-		r.finish(true)
+	case errors.Is(err, io.EOF):
+		r.finish()
 	case err != nil:
 		r.abandon()
 		err = wrap("read body", Broken, err)
@@ -320,12 +320,12 @@
 	}
 }
 
-func (r *Response) finish(whole bool) {
+func (r *Response) finish() {
 	if r.state != bodyOpen {
 		return
 	}
 	r.state = bodyEnded
-	if !whole || !r.stop() || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 {
+	if !r.stop() || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/keyvalue/etcd/client.go
+++ b/internal/keyvalue/etcd/client.go
@@ -163,7 +163,7 @@
 	out.Header.SetContentType("application/json")
 	out.SetBody(body)
 	first := c.current.Load()
-	lastErr := error(errors.New("no endpoint is set"))
+	lastErr := errors.New("no endpoint is set")
 	for i := range c.endpoints {
 		at := (int(first) + i) % len(c.endpoints)
 		out.SetRequestURI("http://" + c.endpoints[at] + path)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -375,8 +375,8 @@
 	}
 }
 
-// Summarize tells how busy the targets of a service are.
-func (s *Scheduler) Summarize(now time.Time, name string) Summary {
+// Summarise tells how busy the targets of a service are.
+func (s *Scheduler) Summarise(now time.Time, name string) Summary {
 	svc := s.services[name]
 	if svc == nil {
 		return Summary{}
--- /dev/null
+++ b/internal/standin/plan.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Plan lists stand-ins to start as one process.
+type Plan struct {
+	Engines  []EnginePlan  `json:"Engines"`
+	Services []ServicePlan `json:"Services"`
+	// KeyValue and Platform are addresses; empty ones start none.
+	KeyValue string `json:"KeyValue"`
+	Platform string `json:"Platform"`
+}
+
+// EnginePlan is a model engine with its address.
+type EnginePlan struct {
+	Address string        `json:"Address"`
+	Options EngineOptions `json:"Options"`
+}
+
+// ServicePlan is a plain service with its address.
+type ServicePlan struct {
+	Address string `json:"Address"`
+}
+
+// ParsePlan reads a plan. Unknown fields are refused.
+func ParsePlan(data []byte) (Plan, error) {
+	var plan Plan
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&plan); err != nil {
+		return Plan{}, errors.Wrap(err, "plan of stand-ins")
+	}
+	return plan, nil
+}
+
+const (
+	planHostListLag = time.Second
+	planWeightRate  = 64 << 20 // bytes a second
+)
+
+// Start starts all stand-ins of the plan and returns what stops them.
+func (p Plan) Start() (stop func(), err error) {
+	var servers []*Server
+	stop = func() {
+		for _, s := range servers {
+			s.Kill()
+		}
+	}
+	start := func(s *Server, address string) {
+		if err == nil && address != "" {
+			err = s.Listen(address)
+			servers = append(servers, s)
+		}
+	}
+	for _, e := range p.Engines {
+		start(NewEngine(e.Options).Server, e.Address)
+	}
+	for _, s := range p.Services {
+		start(NewService().Server, s.Address)
+	}
+	start(NewKeyValue().Server, p.KeyValue)
+	start(NewPlatform(planHostListLag, planWeightRate).Server, p.Platform)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	return stop, nil
+}
