internal/daemon: relay streams by a reader instead of a writer

Cause: fasthttp's stream writer costs a pipe, a buffer and a goroutine for each open stream. Change: the response body is a reader that hands out the events that have arrived and waits only when there is none; the buffer before it is halved.

--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	streamBufferBytes = 4 << 10
+	streamBufferBytes = 2 << 10
 	maxEventBytes     = 256 << 10
 	resumeTries       = 2
 )
@@ -80,8 +80,8 @@
 // Buffered reports whether another event can be read without waiting.
 func (s *Stream) Buffered() bool { return s.reader.Buffered() > 0 }
 
-// Next returns the next event with its blank line. The bytes are valid until
-// the following call. io.EOF comes only after the terminator.
+// Next returns the next event with its blank line, and whether it is the
+// terminator. The bytes are valid until the following call.
 func (s *Stream) Next(ctx context.Context) (event []byte, end bool, err error) {
 	for {
 		event, end, err = s.read()
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"slices"
 	"time"
 
@@ -175,46 +175,79 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer f.release()
-		if open.done != nil {
-			defer open.done()
-		}
-		f.copyEvents(w, open)
-	})
-}
-
-func (f *flight) copyEvents(w *bufio.Writer, open *openStream) {
-	event, ended := open.first, open.ended
-	events := 0
-	mark := f.d.clock.Now()
-	for {
-		if _, err := w.Write(event); err != nil {
-			f.abandon(open)
-			return
-		}
-		if !open.stream.Buffered() || ended {
-			if err := w.Flush(); err != nil {
-				f.abandon(open)
-				return
-			}
-		}
-		if ended {
-			f.complete(open, events)
-			return
-		}
-		events++
-		if events%samplesEvery == 0 && open.name != "" {
-			now := f.d.clock.Now()
-			f.d.dispatcher.ObserveSpeed(open.name, straggler.PerToken, now.Sub(mark)/samplesEvery)
-			mark = now
-		}
-		var err error
-		if event, ended, err = open.stream.Next(f.ctx); err != nil {
-			f.breakOff(w, open, err)
-			return
+	ctx.SetBodyStream(&relayReader{flight: f, open: open, pending: open.first, ended: open.ended, mark: f.d.clock.Now()}, -1)
+}
+
+// relayReader is a stream as the HTTP server reads it: each Read returns the
+// events that have arrived, and waits only when there is none.
+type relayReader struct {
+	flight  *flight
+	open    *openStream
+	pending []byte // of the event that is being handed out
+	ended   bool   // no event follows the pending one
+	closed  bool
+	events  int
+	mark    time.Time
+}
+
+// Read implements io.Reader.
+func (r *relayReader) Read(b []byte) (int, error) {
+	n := 0
+	for n < len(b) {
+		if len(r.pending) == 0 && !r.next(n > 0) {
+			break
 		}
+		copied := copy(b[n:], r.pending)
+		r.pending = r.pending[copied:]
+		n += copied
+	}
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// next makes another event the pending one. With some set, it does so only if
+// that needs no waiting.
+func (r *relayReader) next(some bool) bool {
+	if r.ended || (some && !r.open.stream.Buffered()) {
+		return false
+	}
+	f := r.flight
+	event, ended, err := r.open.stream.Next(f.ctx)
+	if err != nil {
+		r.pending, r.ended = f.breakOff(r.open, err), true
+		return true
+	}
+	r.pending, r.ended = event, ended
+	if ended {
+		f.complete(r.open, r.events)
+		return true
+	}
+	r.events++
+	if r.events%samplesEvery == 0 && r.open.name != "" {
+		now := f.d.clock.Now()
+		f.d.dispatcher.ObserveSpeed(r.open.name, straggler.PerToken, now.Sub(r.mark)/samplesEvery)
+		r.mark = now
+	}
+	return true
+}
+
+// Close implements io.Closer. The server calls it at the end of the stream, and
+// when the caller has gone.
+func (r *relayReader) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	if !r.ended {
+		r.flight.abandon(r.open)
+	}
+	if r.open.done != nil {
+		r.open.done()
 	}
+	r.flight.release()
+	return nil
 }
 
 func (f *flight) complete(open *openStream, events int) {
@@ -232,8 +265,9 @@
 	f.cancelWork(open.stream.Address())
 }
 
-// breakOff ends a stream that cannot be completed with an event that says so.
-func (f *flight) breakOff(w *bufio.Writer, open *openStream, err error) {
+// breakOff gives up a stream that cannot be completed and returns the event
+// that says so.
+func (f *flight) breakOff(open *openStream, err error) []byte {
 	f.abandon(open)
 	f.d.metrics.add(countBroken, 1)
 	r := &core.Refusal{Reason: core.ReasonStreamCut, Message: "the stream broke off: " + err.Error(), Outcome: core.Unknown}
@@ -242,10 +276,7 @@
 	}
 	body, encodeErr := json.Marshal(f.d.errorBody(f.call.id, r))
 	if encodeErr != nil {
-		return
+		body = []byte("{}")
 	}
-	_, _ = w.WriteString("event: error\ndata: ")
-	_, _ = w.Write(body)
-	_, _ = w.WriteString("\n\n")
-	_ = w.Flush()
+	return slices.Concat([]byte("event: error\ndata: "), body, []byte("\n\n"))
 }
