--- a/internal/bench/relay/processes.go
+++ b/internal/bench/relay/processes.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	benchRegion   = "bench"
+	benchCentre   = "bench-1"
 	operatorKey   = "bench-operator"
 	callerKey     = "bench-caller"
 	fastModel     = "fast"
@@ -69,7 +71,7 @@
 		Services: []standin.ServicePlan{{Address: plainAddress}},
 	}
 	s := settings.Default()
-	s.Host, s.Region, s.DataCentre = "bench-a", "bench", "bench-1"
+	s.Host, s.Region, s.DataCentre = "bench-a", benchRegion, benchCentre
 	s.CallerAddress, s.PeerAddress, s.StoreAddresses = callerAddress, peerAddress, []string{storeAddress}
 	s.FleetKeys, s.ClaimSecret = []string{"bench-fleet-key-0001"}, "bench-claim-secret-01"
 	s.BootstrapOperatorDigest = config.Digest(operatorKey)
@@ -104,11 +106,11 @@
 
 func (p *processes) configure(ctx context.Context) error {
 	target := func(service, address string) config.Target {
-		return config.Target{Service: service, Region: "bench", DataCentre: "bench-1", Address: address, Slots: benchSlots}
+		return config.Target{Service: service, Region: benchRegion, DataCentre: benchCentre, Address: address, Slots: benchSlots}
 	}
-	regions := []string{"bench"}
+	regions := []string{benchRegion}
 	document := config.Document{
-		Regions: map[string]config.Region{"bench": {DataCentres: []string{"bench-1"}}},
+		Regions: map[string]config.Region{benchRegion: {DataCentres: []string{benchCentre}}},
 		Services: map[string]config.Service{
 			fastModel:    {Kind: config.KindModel, Regions: regions, FirstTokenBudgetMs: 60_000, LongTokens: 100_000},
 			slowModel:    {Kind: config.KindModel, Regions: regions, FirstTokenBudgetMs: 60_000, LongTokens: 100_000},
@@ -117,10 +119,10 @@
 		Targets: map[string]config.Target{
 			"fast-1": target(fastModel, fastAddress), "slow-1": target(slowModel, slowAddress), "desk-1": target(plainService, plainAddress),
 		},
-		Workspaces: map[string]config.Workspace{"bench": {Home: "bench", Residency: regions}},
+		Workspaces: map[string]config.Workspace{benchRegion: {Home: benchRegion, Residency: regions}},
 		Keys: map[string]config.Key{
 			"operator": {Role: config.RoleOperator, Digests: []string{config.Digest(operatorKey)}},
-			"caller":   {Role: config.RoleCaller, Workspace: "bench", Digests: []string{config.Digest(callerKey)}},
+			"caller":   {Role: config.RoleCaller, Workspace: benchRegion, Digests: []string{config.Digest(callerKey)}},
 		},
 		Limits: config.DefaultLimits(),
 	}
--- a/internal/bench/relay/relay.go
+++ b/internal/bench/relay/relay.go
@@ -130,16 +130,16 @@
 	}
 }
 
-// closedLoop makes calls from n callers for the duration, with a pause between
+// closedLoop makes calls from all callers for the duration, with a pause between
 // two calls of one, and returns the rate and the latencies in microseconds.
-func (m *meter) closedLoop(ctx context.Context, n int, pause time.Duration, address, path string) (float64, *hdrhistogram.Histogram, error) {
+func (m *meter) closedLoop(ctx context.Context, pause time.Duration, address, path string) (float64, *hdrhistogram.Histogram, error) {
 	const maxMicros, digits = 60_000_000, 3
 	all := hdrhistogram.New(1, maxMicros, digits)
 	var mu sync.Mutex
 	var failed error
 	var wait sync.WaitGroup
 	began := time.Now()
-	for range n {
+	for range callers {
 		wait.Go(func() {
 			own := hdrhistogram.New(1, maxMicros, digits)
 			for time.Since(began) < m.options.Duration && ctx.Err() == nil {
@@ -163,7 +163,7 @@
 }
 
 func (m *meter) shortCalls(ctx context.Context) error {
-	direct, _, err := m.closedLoop(ctx, callers, 0, plainAddress, directPath)
+	direct, _, err := m.closedLoop(ctx, 0, plainAddress, directPath)
 	if err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	through, full, err := m.closedLoop(ctx, callers, 0, callerAddress, shortPath)
+	through, full, err := m.closedLoop(ctx, 0, callerAddress, shortPath)
 	if err != nil {
 		return err
 	}
@@ -197,11 +197,11 @@
 // halfLoad compares latencies at the same rate, half of what the daemon can do.
 func (m *meter) halfLoad(ctx context.Context, rate float64) error {
 	pause := time.Duration(float64(callers) / rate * float64(time.Second))
-	_, direct, err := m.closedLoop(ctx, callers, pause, plainAddress, directPath)
+	_, direct, err := m.closedLoop(ctx, pause, plainAddress, directPath)
 	if err != nil {
 		return err
 	}
-	_, through, err := m.closedLoop(ctx, callers, pause, callerAddress, shortPath)
+	_, through, err := m.closedLoop(ctx, pause, callerAddress, shortPath)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,7 +177,7 @@
 	group.Go("announcer", d.announce)
 	group.Go("caller server", d.server(d.callerServer, d.callerListener))
 	group.Go("peer server", d.server(d.peerServer, d.peerListener))
-	d.log.Info("The host serves.", "Host", d.settings.Host, "CallerAddress", d.settings.CallerAddress)
+	d.log.Info("The host serves.", "CallerAddress", d.settings.CallerAddress)
 	go d.watchEnds(ctx, group)
 	err := group.Wait()
 	d.pool.Close()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -49,13 +49,13 @@
 // Load reads the newest state and the revision of the store that it was read at.
 func (l *Ledger) Load(ctx context.Context) (*State, int64, error) {
 	const op = "load"
-	result, err := l.store.Commit(ctx, keyvalue.Txn{Reads: []string{snapshotKey, headKey}})
+	page, err := l.store.Get(ctx, snapshotKey)
 	if err != nil {
 		return nil, 0, failure.Wrap(op, Unavailable, err)
 	}
 	snapshot := Snapshot{}
-	if entry := result.Reads[0]; entry.ModRevision > 0 {
-		if err := json.Unmarshal(entry.Value, &snapshot); err != nil {
+	if len(page.Entries) > 0 {
+		if err = json.Unmarshal(page.Entries[0].Value, &snapshot); err != nil {
 			return nil, 0, failure.Wrap(op, Diverged, err)
 		}
 	}
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	page, err := l.store.List(ctx, recordKey(state.Version+1), keyvalue.PrefixEnd(recordsPrefix))
+	page, err = l.store.List(ctx, recordKey(state.Version+1), keyvalue.PrefixEnd(recordsPrefix))
 	if err != nil {
 		return nil, 0, failure.Wrap(op, Unavailable, err)
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -112,7 +112,7 @@
 // Submit decides on a new call.
 func (s *Scheduler) Submit(now time.Time, ask Ask) Decision {
 	svc := s.services[ask.Service]
-	if svc == nil || !svc.anyUsable(now) {
+	if svc == nil || !svc.anyUsable(now, ask.Avoid) {
 		return refuse(ask.ID, core.ReasonNoTarget, "no target of the service is in use here", minRetryAfter)
 	}
 	if !s.overtaken(now, svc, ask.Class) {
@@ -184,8 +184,11 @@
 	return time.Duration(float64(ahead) * hold / float64(slots) * float64(time.Second))
 }
 
-func (svc *service) anyUsable(now time.Time) bool {
-	return slices.ContainsFunc(svc.replicas, func(r *replica) bool { return r.usable(now) })
+// anyUsable reports whether a target is in use that the call does not avoid.
+func (svc *service) anyUsable(now time.Time, avoid []string) bool {
+	return slices.ContainsFunc(svc.replicas, func(r *replica) bool {
+		return r.usable(now) && !slices.Contains(avoid, r.Name)
+	})
 }
 
 // choose returns the target for the call, or nil when all are full.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -107,12 +107,15 @@
 }
 
 // SetFault replaces the fault switches. Connections that are now cut break off.
-func (s *Server) SetFault(fault Fault) {
+func (s *Server) SetFault(fault Fault) { s.setFault(fault, nil) }
+
+// setFault spares the connection over which the fault was set.
+func (s *Server) setFault(fault Fault, spared net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
 	for c := range s.conns {
-		if fault.Down || cutFrom(fault, c.RemoteAddr()) {
+		if c != spared && (fault.Down || cutFrom(fault, c.RemoteAddr())) {
 			_ = c.Close()
 		}
 	}
@@ -234,7 +237,7 @@
 		answerJSON(ctx, fasthttp.StatusBadRequest, failed{Error: err.Error()})
 		return
 	}
-	s.SetFault(fault)
+	s.setFault(fault, ctx.Conn())
 	answerJSON(ctx, fasthttp.StatusOK, fault)
 }
 
