internal/gossip: let hosts that know other things read from one another

Cause: at 57 hosts that start together, the view never converged within 20 s: facts of hosts that join travelled only with heartbeats, two in each, and monitors suspected hosts that did not know them yet. Change: a host's word of itself is passed on at once; heartbeats carry a digest of the known hosts, and one that differs for a second leads to a read of the sender; a new monitor waits 6 s for the first heartbeat. The periodic read goes from 10 s to 2 min. Ruled out: lost datagrams (the counter of drops stayed 0).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,7 +52,9 @@
 	incarnation int64
 
 	pool       *exchange.Pool // to targets and the platform
-	peers      *exchange.Pool
+	peers      *exchange.Pool // for calls that are sent on
+	control    *link.Counter
+	controls   *exchange.Pool // to peers, for control
 	attempts   *attempt.Client
 	forwards   *attempt.Client
 	sealer     *seal.Sealer
@@ -107,11 +109,13 @@
 	d.incarnation = d.clock.Now().UnixMilli()
 	d.pool = exchange.NewPool(d.network)
 	d.peers = exchange.NewPool(d.network)
+	d.control = link.NewCounter(d.network)
+	d.controls = exchange.NewPool(d.control)
 	d.attempts = attempt.NewClient(d.pool)
 	d.forwards = attempt.NewClient(d.peers)
 	d.sealer = seal.New(s.FleetKeys...)
 	d.digests = seal.New(s.ClaimSecret)
-	d.store = etcd.NewClient(exchange.NewPool(d.network), s.StoreAddresses)
+	d.store = etcd.NewClient(exchange.NewPool(d.control), s.StoreAddresses)
 	d.ledger = ledger.New(d.store, d.clock.Now)
 	d.dispatcher = dispatch.New(d.clock, d.placementOptions(config.DefaultLimits(), 1), rand.Uint64())
 	d.committer = claim.NewCommitter(d.store, d.clock, claimRetention)
@@ -182,6 +186,7 @@
 	err := group.Wait()
 	d.pool.Close()
 	d.peers.Close()
+	d.controls.Close()
 	return err
 }
 
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		d.log.Error(err, "The placement state could not be read.")
 	}
+	sent, received := d.ControlBytes()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	return Dump{
@@ -116,7 +117,7 @@
 		Members: view.Members, CutCentres: sortedNames(view.CutCentres),
 		Targets: snapshot.Targets, Services: snapshot.Services, Facts: d.factRows(ctx),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
-		SentBytes: d.gossip.Counts().SentBytes.Load(), ReceivedBytes: d.gossip.Counts().ReceivedBytes.Load(),
+		SentBytes: sent, ReceivedBytes: received,
 		ClaimWrites: d.committer.Transactions.Load(), Claims: d.committer.Claims.Load(),
 	}
 }
@@ -155,3 +156,10 @@
 	}
 	return n
 }
+
+// ControlBytes returns how many bytes the host has sent and received for
+// control: datagrams between hosts, and what it read from peers and the store.
+func (d *Daemon) ControlBytes() (sent, received int64) {
+	counts := d.gossip.Counts()
+	return counts.SentBytes.Load() + d.control.Sent(), counts.ReceivedBytes.Load() + d.control.Received()
+}
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -136,7 +136,7 @@
 	request.Header.Set(core.HeaderSignedAt, strconv.FormatInt(d.clock.Now().UnixMilli(), 10))
 	header := func(name string) string { return string(request.Header.Peek(name)) }
 	request.Header.Set(core.HeaderSignature, d.sealer.Seal(signedParts(header, fasthttp.MethodGet, path, nil)...))
-	response, err := d.peers.Do(ctx, address, request)
+	response, err := d.controls.Do(ctx, address, request)
 	if err != nil {
 		return err
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -19,12 +19,14 @@
 
 // message is a datagram between hosts: its JSON form, a line feed, its seal.
 type message struct {
-	Kind        messageKind     `json:"Kind"`
-	From        string          `json:"From"`
-	DataCentre  string          `json:"DataCentre"`
-	Incarnation int64           `json:"Incarnation"`
-	Beat        uint64          `json:"Beat"`
-	Items       []bulletin.Item `json:"Items,omitempty"`
+	Kind        messageKind `json:"Kind"`
+	From        string      `json:"From"`
+	DataCentre  string      `json:"DataCentre"`
+	Incarnation int64       `json:"Incarnation"`
+	Beat        uint64      `json:"Beat"`
+	// Digest stands for all that the sender knows of hosts.
+	Digest uint64          `json:"Digest,string,omitempty"`
+	Items  []bulletin.Item `json:"Items,omitempty"`
 }
 
 const maxMessageBytes = 1400
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -24,7 +24,10 @@
 	ringSize         = 1024
 	centreInterval   = time.Second // between heartbeats to other data centres
 	centresPerBeat   = 3
-	syncInterval     = 10 * time.Second
+	syncInterval     = 2 * time.Minute
+	joinInterval     = time.Second // between reads of a host that has just started
+	joinReads        = 3
+	differAfter      = time.Second // of other digests, before a read
 	syncWhileAlone   = 500 * time.Millisecond
 	readBufferBytes  = 64 << 10
 	farewellInterval = 100 * time.Millisecond
@@ -67,6 +70,7 @@
 	posts   *ring.Ring[post]
 	leaving *ring.Ring[struct{}]
 	synced  *ring.Ring[[]bulletin.Item]
+	differs *ring.Ring[string]
 	asks    *ring.Ring[chan []bulletin.Item]
 
 	table      *member.Table
@@ -74,6 +78,7 @@
 	beat       uint64
 	nextCentre int
 	lastCentre time.Time
+	differing  map[string]time.Time // since when a host's digest is another one
 }
 
 type packet struct {
@@ -111,7 +116,7 @@
 		onItem: func(bulletin.Item) {}, counts: &Counts{},
 		packets: ring.New[packet](ringSize), posts: ring.New[post](ringSize),
 		leaving: ring.New[struct{}](1), synced: ring.New[[]bulletin.Item](1),
-		asks:  ring.New[chan []bulletin.Item](1),
+		asks: ring.New[chan []bulletin.Item](1), differs: ring.New[string](1), differing: map[string]time.Time{},
 		board: bulletin.NewBoard(maxItems),
 	}
 	for _, option := range options {
@@ -181,31 +186,39 @@
 	}
 }
 
-// Sync is the duty that reads the facts of other hosts from time to time, so
-// that lost datagrams do no lasting harm.
+// Sync is the duty that reads all facts of another host: after the start, when
+// that host's digest shows that it knows other things, and from time to time.
 func (s *Service) Sync(ctx context.Context) error {
-	for {
-		if items, ok := s.fetchOnce(ctx); ok {
+	address, ok := s.syncPeer()
+	for reads := 0; ; {
+		if items, done := s.fetchFrom(ctx, address, ok); done {
+			reads++
 			_ = s.synced.Put(ctx, items)
 		}
-		wait := syncInterval
-		if len(s.View().Members) < 2 {
-			wait = syncWhileAlone
-		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-s.clock.After(wait):
+		case address = <-s.differs.Items():
+			ok = true
+		case <-s.clock.After(s.syncWait(reads)):
+			address, ok = s.syncPeer()
 		}
 	}
 }
 
-func (s *Service) fetchOnce(ctx context.Context) ([]bulletin.Item, bool) {
-	if s.fetch == nil {
-		return nil, false
+func (s *Service) syncWait(reads int) time.Duration {
+	switch {
+	case len(s.View().Members) < 2:
+		return syncWhileAlone
+	case reads < joinReads:
+		return joinInterval
+	default:
+		return syncInterval
 	}
-	address, ok := s.syncPeer()
-	if !ok {
+}
+
+func (s *Service) fetchFrom(ctx context.Context, address string, ok bool) ([]bulletin.Item, bool) {
+	if !ok || s.fetch == nil {
 		return nil, false
 	}
 	items, err := s.fetch(ctx, address)
@@ -258,7 +271,7 @@
 				s.spread([]bulletin.Item{p.item}, true)
 			}
 		case items := <-s.synced.Items():
-			s.take(items, "", false)
+			s.take(items, "", "", false)
 		case reply := <-s.asks.Items():
 			reply <- s.board.All(bulletin.DataCentre)
 		case <-s.leaving.Items():
@@ -327,12 +340,30 @@
 	now := s.clock.Now()
 	s.table.Heard(now, m.From, m.Incarnation)
 	s.table.HeardCentre(now, m.DataCentre)
-	s.take(m.Items, m.DataCentre, m.Kind == kindNews)
+	s.compare(now, m)
+	s.take(m.Items, m.From, m.DataCentre, m.Kind == kindNews)
 }
 
-// take merges facts from the data centre given, empty for a whole read. What is
-// news and urgent is passed on at once; the rest goes with the heartbeats.
-func (s *Service) take(items []bulletin.Item, from string, urgent bool) {
+// compare asks for a read of a host whose digest has differed for a while.
+func (s *Service) compare(now time.Time, m message) {
+	if m.Digest == 0 || m.Digest == s.table.Digest() {
+		delete(s.differing, m.From)
+		return
+	}
+	since, ok := s.differing[m.From]
+	if !ok {
+		s.differing[m.From] = now
+		return
+	}
+	if info, known := s.table.Find(m.From); known && now.Sub(since) > differAfter && s.differs.Offer(info.PeerAddress) {
+		delete(s.differing, m.From)
+	}
+}
+
+// take merges facts from a sender and its data centre, both empty for a whole
+// read. What is urgent news, or what a host says of itself, is passed on at once;
+// the rest goes with the heartbeats.
+func (s *Service) take(items []bulletin.Item, sender, from string, urgent bool) {
 	now := s.clock.Now()
 	var news, answers []bulletin.Item
 	for _, item := range items {
@@ -344,6 +375,7 @@
 			continue
 		}
 		fresh, answer := s.takeMember(now, item)
+		urgent = urgent || (fresh && item.Key == member.KeyPrefix+sender)
 		if answer != nil {
 			answers = append(answers, *answer)
 		} else if fresh {
@@ -352,13 +384,19 @@
 	}
 	s.spread(answers, true)
 	if urgent {
-		s.spread(news, from != s.table.Self().DataCentre)
+		s.spread(news, from != s.table.Self().DataCentre || joining(news, sender))
 	}
 	if len(news)+len(answers) > 0 {
 		s.publishView()
 	}
 }
 
+// joining reports whether a host brings the news of itself, which its mates may
+// not have had from it.
+func joining(news []bulletin.Item, sender string) bool {
+	return len(news) == 1 && news[0].Key == member.KeyPrefix+sender
+}
+
 func (s *Service) takeMember(now time.Time, item bulletin.Item) (bool, *bulletin.Item) {
 	info, err := member.FromItem(item)
 	if err != nil {
@@ -410,8 +448,12 @@
 	if address == self.PeerAddress {
 		return
 	}
+	digest := uint64(0)
+	if kind == kindHeartbeat {
+		digest = s.table.Digest()
+	}
 	data, err := encode(message{
-		Kind: kind, From: self.Host, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Beat: s.beat, Items: items,
+		Digest: digest, Kind: kind, From: self.Host, DataCentre: self.DataCentre, Incarnation: self.Incarnation, Beat: s.beat, Items: items,
 	}, s.sealer)
 	if err != nil {
 		s.log.Error(err, "A message could not be encoded.")
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,7 @@
 const (
 	HeartbeatInterval = 500 * time.Millisecond
 	suspectAfter      = 1600 * time.Millisecond // without a heartbeat, at a monitor
+	firstBeatWithin   = 6 * time.Second         // of becoming a monitor
 	goneAfter         = 10 * time.Second        // as a suspect
 	forgetAfter       = 60 * time.Second        // as gone
 	cutAfter          = 8 * time.Second         // without word of a data centre
@@ -30,6 +32,7 @@
 	heard     time.Time
 	changed   time.Time
 	monitored bool
+	beaten    bool // a heartbeat came since the host is monitored
 }
 
 // Table is one host's view of the fleet. Its owner is one goroutine.
@@ -99,7 +102,7 @@
 func (t *Table) Heard(now time.Time, host string, incarnation int64) {
 	r, ok := t.hosts[host]
 	if ok && r.info.Incarnation == incarnation {
-		r.heard = now
+		r.heard, r.beaten = now, true
 		if r.info.DataCentre != t.self.DataCentre {
 			t.centres[r.info.DataCentre] = now
 		}
@@ -120,14 +123,23 @@
 		case !watched[name]:
 			r.monitored = false
 		case !r.monitored:
-			r.monitored, r.heard = true, now
-		case r.info.Status == Alive && now.Sub(r.heard) > suspectAfter:
+			r.monitored, r.beaten, r.heard = true, false, now
+		case r.info.Status == Alive && now.Sub(r.heard) > r.patience():
 			out = append(out, t.change(now, r, Suspect))
 		}
 	}
 	return out
 }
 
+// patience is how long a monitor waits for a heartbeat. The host may take a
+// while to learn that it has a new monitor.
+func (r *record) patience() time.Duration {
+	if r.beaten {
+		return suspectAfter
+	}
+	return firstBeatWithin
+}
+
 func (t *Table) change(now time.Time, r *record, status Status) bulletin.Item {
 	r.info, r.changed = r.info.WithStatus(status), now
 	return r.info.Item()
@@ -231,6 +243,26 @@
 	return out
 }
 
+// Find returns what is known of a host.
+func (t *Table) Find(name string) (Info, bool) {
+	if r, ok := t.hosts[name]; ok {
+		return r.info, true
+	}
+	return Info{}, false
+}
+
+// Digest stands for all that is known of hosts that are not gone. It is the
+// same at hosts that know the same.
+func (t *Table) Digest() uint64 {
+	sum := uint64(1)
+	for name, r := range t.hosts {
+		if r.info.Status != Gone {
+			sum ^= xxhash.Sum64String(name + strconv.FormatInt(r.info.Stamp(), 10))
+		}
+	}
+	return sum
+}
+
 // All returns every known host in order of name.
 func (t *Table) All() []Info {
 	out := make([]Info, 0, len(t.hosts))
