--- /dev/null
+++ b/cmd/sequoiarack-bench/cmd/policy.go
@@ -0,0 +1,87 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/bench/policy"
+)
+
+func newPolicy(e *env) *ffcli.Command {
+	set := newFlagSet("policy", e)
+	asJSON := set.Bool("json", false, "print JSON, a row a line")
+	scenario := set.String("scenario", "all", "scenario FILE, or all of the folder")
+	folder := set.String("folder", "scenarios", "folder of the scenario files")
+	names := set.String("policies", strings.Join(policy.Names(), ","), "policies to run, joined by commas")
+	seed := set.Uint64("seed", 1, "seed of the arrivals")
+	plots := set.String("plot", "", "folder to write SVG plots to")
+	return &ffcli.Command{
+		Name: "policy", ShortUsage: "sequoiarack-bench policy --scenario FILE|all [--seed N] [--json] [--plot DIR]",
+		ShortHelp: "measure the decisions on a virtual clock, against baselines and an oracle",
+		LongHelp:  "The same scenario and seed give the same bytes. docs/POLICY.md explains the\nscenario files and the rows.",
+		FlagSet:   set,
+		Exec: func(ctx context.Context, _ []string) error {
+			files := []string{*scenario}
+			if *scenario == "all" {
+				var err error
+				if files, err = filepath.Glob(filepath.Join(*folder, "*.json")); err != nil || len(files) == 0 {
+					return errors.Errorf("no scenario files in %q", *folder)
+				}
+			}
+			for _, file := range files {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				if err := runScenario(e.out, file, *seed, strings.Split(*names, ","), *asJSON, *plots); err != nil {
+					return errors.Wrap(err, file)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func runScenario(w io.Writer, file string, seed uint64, names []string, asJSON bool, plots string) error {
+	s, err := policy.Load(file)
+	if err != nil {
+		return err
+	}
+	m, err := policy.Run(s, seed, names)
+	if err != nil {
+		return err
+	}
+	if plots != "" {
+		if err := m.Plot(plots, s.Name); err != nil {
+			return err
+		}
+	}
+	if asJSON {
+		encoder := json.NewEncoder(w)
+		for _, row := range m.Rows {
+			if err := encoder.Encode(row); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return printRows(w, m.Rows)
+}
+
+func printRows(w io.Writer, rows []policy.Row) error {
+	const padding = 2
+	t := tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "SCENARIO\tPOLICY\tCLASS\tCALLS\tFIRST P50\tFIRST P99\tDONE P99\tAWAY %\tWASTED %\tCOST\tNOT RUN %\tLATE %\t")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.3f\t%.2f\t%.2f\t\n", r.Scenario, r.Policy, r.Class, r.Calls,
+			r.FirstTokenP50Ms, r.FirstTokenP99Ms, r.CompletionP99Ms, 100*r.ShareAway, 100*r.WastedTokenShare, r.CostRatio, 100*r.NotRunShare, 100*r.BudgetMissShare)
+	}
+	return t.Flush()
+}
--- a/cmd/sequoiarack-bench/cmd/root.go
+++ b/cmd/sequoiarack-bench/cmd/root.go
@@ -51,7 +51,7 @@
 		LongHelp: "Measures sequoiarack. Figures come as JSON, one object a line, and compare\nruns of the same process, so that they hold on any machine.",
 		FlagSet:  newFlagSet("sequoiarack-bench", e),
 		Subcommands: []*ffcli.Command{
-			newRelay(e), newControl(e), newStandins(e), newChild(e),
+			newRelay(e), newControl(e), newPolicy(e), newStandins(e), newChild(e),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
