internal/straggler: judge an ejected target by the calls that it still runs

Cause: a straggler was ejected for 4 s and then got calls again until two of them had been slow; samples came every 32 tokens, at eight times the pace every 7 s. Change: samples come by time (300 ms); during an ejection slow samples prolong it and three good ones end it; afterwards a target gets a call every 500 ms until it has shown good ones.

--- a/internal/bench/policy/gateway.go
+++ b/internal/bench/policy/gateway.go
@@ -220,15 +220,13 @@
 		took := p.clock.now - s.began
 		p.desks[s.host].first.Observe(took)
 		seat.scheduler.Observe(p.at(), r.name, straggler.FirstToken, took)
-		s.mark = p.clock.now
 		for _, other := range j.tries {
 			if other != s && !other.dropped {
 				p.giveUp(other)
 			}
 		}
 	case someTokens:
-		seat.scheduler.Observe(p.at(), r.name, straggler.PerToken, (p.clock.now-s.mark)/tokensPerSample)
-		s.mark = p.clock.now
+		seat.scheduler.Observe(p.at(), r.name, straggler.PerToken, s.pace)
 	case ended:
 		p.release(seat, s.ticket)
 	case lost:
--- a/internal/bench/policy/replica.go
+++ b/internal/bench/policy/replica.go
@@ -57,6 +57,8 @@
 	prefill  float64 // tokens left to read
 	produced int
 	mark     time.Duration // of the last sample of its speed
+	marked   int           // tokens at that time
+	pace     time.Duration // between tokens, in the last sample
 	dropped  bool          // nobody waits for it any more
 }
 
@@ -95,7 +97,9 @@
 	lost
 )
 
-const tokensPerSample = 32
+// sampleInterval is the shortest time between two samples of a sequence's speed,
+// as in the daemon.
+const sampleInterval = 300 * time.Millisecond
 
 func (r *replica) add(s *sequence) {
 	if r.down {
@@ -179,8 +183,11 @@
 	r.useful++
 	switch {
 	case s.produced == 1:
+		s.mark, s.marked = r.clock.now, 1
 		r.notify(r, s, firstToken)
-	case s.produced%tokensPerSample == 0:
+	case r.clock.now-s.mark >= sampleInterval:
+		s.pace = (r.clock.now - s.mark) / time.Duration(s.produced-s.marked)
+		s.mark, s.marked = r.clock.now, s.produced
 		r.notify(r, s, someTokens)
 	}
 	if s.produced < s.job.tokens {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -17,7 +17,8 @@
 	holdDecay       = 0.05
 	affinityBonus   = 0.25 // of a target's slots, for each level of a prefix
 	affinityEntries = 16384
-	minRetryAfter   = 1 // second
+	probePause      = 500 * time.Millisecond // between calls to a target that was ejected
+	minRetryAfter   = 1                      // second
 	maxRetryAfter   = 60
 )
 
@@ -246,6 +247,9 @@
 	if ask.Alone {
 		return r.busy(now, s.options.Sharing) == 0
 	}
+	if svc.detector.Probated(r.Name) && now.Sub(r.lastPlaced) < probePause {
+		return false
+	}
 	slots := r.slots(now, s.options.Sharing, s.options.Hosts)
 	if ask.Class == core.Long && r.own[core.Long] >= longCap(slots, s.options.LongSlotShare) {
 		return false
@@ -262,6 +266,7 @@
 func (s *Scheduler) grant(now time.Time, svc *service, ask Ask, r *replica) Decision {
 	r.own[ask.Class]++
 	r.alone = r.alone || ask.Alone
+	r.lastPlaced = now
 	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, at: now, alone: ask.Alone}
 	svc.affinity.Stored(ask.Prefix, r.Name)
 	return Decision{ID: ask.ID, Verdict: Granted, Target: r.Target, Alone: ask.Alone}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -22,6 +22,7 @@
 	reportedAt  time.Time
 	downUntil   time.Time
 	returnedAt  time.Time
+	lastPlaced  time.Time
 	leavingSeen bool // the target itself refused work as leaving
 }
 
--- a/internal/straggler/straggler.go
+++ b/internal/straggler/straggler.go
@@ -13,6 +13,8 @@
 	decay          = 0.4 // weight of a new sample
 	firstEjection  = 4 * time.Second
 	maxEjection    = 30 * time.Second
+	extension      = time.Second // of an ejection, by a sample that is still slow
+	recovered      = 3           // good samples in a row that end an ejection
 	forgiveAfter   = 60 * time.Second
 	sampleLifetime = 30 * time.Second
 	minPeers       = 3
@@ -29,11 +31,13 @@
 )
 
 type track struct {
-	value   [signals]float64 // seconds
-	samples [signals]int
-	at      time.Time
-	until   time.Time
-	strikes int
+	value    [signals]float64 // seconds
+	samples  [signals]int
+	at       time.Time
+	until    time.Time // of the ejection
+	strikes  int
+	good     int  // good samples in a row since the ejection
+	probated bool // was ejected and has not shown since that it is fast again
 }
 
 // Detector watches the targets of one service. Its owner is one goroutine.
@@ -52,13 +56,31 @@
 func (d *Detector) SetMaxShare(share float64) { d.maxShare = share }
 
 // Observe takes a sample of a target and ejects it when it is slower than its
-// peers. It reports whether it did.
+// peers. It reports whether it did. A target that is ejected already, and still
+// runs calls, is judged by them: slow samples prolong the ejection, good ones
+// end it.
 func (d *Detector) Observe(now time.Time, target string, signal Signal, sample time.Duration) bool {
 	t := d.tracks[target]
 	if t == nil {
 		t = &track{}
 		d.tracks[target] = t
 	}
+	t.add(now, signal, sample)
+	median, ok := d.median(now, target, signal)
+	if !ok {
+		return false
+	}
+	slow := t.value[signal] >= slowFactor*median
+	switch {
+	case t.probated:
+		return d.judgeAgain(now, t, sample.Seconds() >= slowFactor*median)
+	case slow && t.samples[signal] >= minSamples:
+		return d.eject(now, t)
+	}
+	return false
+}
+
+func (t *track) add(now time.Time, signal Signal, sample time.Duration) {
 	if now.Sub(t.at) > sampleLifetime {
 		t.samples = [signals]int{}
 	}
@@ -69,21 +91,38 @@
 	}
 	t.samples[signal]++
 	t.at = now
-	if t.samples[signal] < minSamples || now.Before(t.until) {
-		return false
+}
+
+// judgeAgain judges a target that was ejected, by one more sample.
+func (d *Detector) judgeAgain(now time.Time, t *track, slow bool) bool {
+	if slow {
+		t.good = 0
+		if now.Before(t.until) {
+			t.until = later(t.until, now.Add(extension))
+			return false
+		}
+		return d.eject(now, t)
 	}
-	median, ok := d.median(now, target, signal)
-	if !ok || t.value[signal] < slowFactor*median {
-		return false
+	t.good++
+	if t.good >= recovered {
+		t.probated, t.until = false, now
+		t.samples = [signals]int{}
 	}
-	return d.eject(now, t)
+	return false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // median returns the median of the peers, without the target itself.
 func (d *Detector) median(now time.Time, target string, signal Signal) (float64, bool) {
 	d.scratch = d.scratch[:0]
 	for name, t := range d.tracks {
-		if name != target && t.samples[signal] >= minSamples && now.Sub(t.at) <= sampleLifetime {
+		if name != target && !t.probated && t.samples[signal] >= minSamples && now.Sub(t.at) <= sampleLifetime {
 			d.scratch = append(d.scratch, t.value[signal])
 		}
 	}
@@ -109,10 +148,17 @@
 	}
 	t.until = now.Add(min(firstEjection<<min(t.strikes, 4), maxEjection))
 	t.strikes++
-	t.samples = [signals]int{}
+	t.good, t.probated = 0, true
 	return true
 }
 
+// Probated reports whether a target was ejected and has not yet shown that it is
+// fast again, so that it should get one call at a time.
+func (d *Detector) Probated(target string) bool {
+	t := d.tracks[target]
+	return t != nil && t.probated
+}
+
 // Ejected reports whether the target is to be left alone now.
 func (d *Detector) Ejected(now time.Time, target string) bool {
 	t := d.tracks[target]
