internal/placement: estimate the wait from the slots that become free

Cause: the wait was computed from the mean time a class holds a slot, which long calls distort, so that no call was ever sent away; a call refused for want of room was not tried elsewhere in the rig. Change: the backlog over the rate at which slots become free, decaying over 4 s; region.Fallback, used by daemon and rig.

--- a/internal/bench/policy/gateway.go
+++ b/internal/bench/policy/gateway.go
@@ -120,7 +120,7 @@
 
 func (p *gateway) input(j *job, h *host) decide.Input {
 	in := decide.Input{
-		Region: h.region.spec.Name, Passed: j.passed, Budget: ms(p.scenario.BudgetMs), Draw: p.draws.Float64(),
+		Region: h.region.spec.Name, Passed: j.passed, Received: j.awaySent, Budget: ms(p.scenario.BudgetMs), Draw: p.draws.Float64(),
 		Local: p.seats[h].scheduler.Summarise(p.at(), serviceName),
 	}
 	for _, r := range p.regions {
@@ -174,7 +174,9 @@
 	case placement.Queued:
 		return
 	case placement.Refused:
-		if len(a.job.tries) == 0 || a.job.first == 0 {
+		if to, ok := p.fallback(a); ok {
+			p.away(a.job, to, func(at *host) { p.ask(a.job, at, nil) })
+		} else if a.job.first == 0 {
 			p.refuse(a.job)
 		}
 	case placement.Granted:
@@ -187,6 +189,15 @@
 	delete(s.waiting, d.ID)
 }
 
+// fallback finds another region for a call that has found no room at home.
+func (p *gateway) fallback(a *ask) (*region, bool) {
+	if a.job.awaySent || len(a.job.tries) > 0 {
+		return nil, false
+	}
+	name, ok := decide.Fallback(p.input(a.job, a.host))
+	return p.region(name), ok
+}
+
 // hedge tries a call whose first token is late at a second target, if one has
 // room at once.
 func (p *gateway) hedge(a *ask, first *sequence, at string) {
--- a/internal/daemon/flight.go
+++ b/internal/daemon/flight.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -223,12 +222,5 @@
 
 // fallbackRegion returns a region for a call that has found no room here.
 func (d *Daemon) fallbackRegion(ctx context.Context, c *call) (string, bool) {
-	in := d.regionInput(ctx, c)
-	in.Local.Usable = 0
-	in.Remotes = slices.DeleteFunc(in.Remotes, func(r region.Remote) bool {
-		trip := 2*r.OneWay + time.Duration(r.Summary.WaitMs)*time.Millisecond
-		return !r.Known || r.Summary.Usable == 0 || trip > c.budget()
-	})
-	decision := (&region.Chooser{}).Choose(in)
-	return decision.Region, decision.Verdict == region.Forward
+	return region.Fallback(d.regionInput(ctx, c))
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -14,11 +14,12 @@
 
 const (
 	longWait        = 5 * time.Second // after which a long call goes first
-	holdDecay       = 0.05
-	affinityBonus   = 0.25 // of a target's slots, for each level of a prefix
+	affinityBonus   = 0.25            // of a target's slots, for each level of a prefix
 	affinityEntries = 16384
 	probePause      = 500 * time.Millisecond // between calls to a target that was ejected
 	minRetryAfter   = 1                      // second
+	freedWindow     = 4 * time.Second
+	minFreedRate    = 0.1 // slots a second
 	maxRetryAfter   = 60
 )
 
@@ -46,13 +47,13 @@
 	queue    *queue.Queue[Ask]
 	detector *straggler.Detector
 	affinity *affinity.Index
-	hold     [2]float64 // mean seconds on a slot, by class
+	freed    float64 // slots freed a second, decaying
+	freedAt  time.Time
 }
 
 type placedCall struct {
 	replica *replica
 	class   core.Class
-	at      time.Time
 	alone   bool
 }
 
@@ -122,9 +123,9 @@
 		}
 	}
 	if s.queued >= s.options.MaxQueued {
-		return refuse(ask.ID, core.ReasonOverloaded, "the queue is full", retryAfter(s.wait(now, svc, ask)))
+		return refuse(ask.ID, core.ReasonOverloaded, "the queue is full", retryAfter(svc.wait(now, ask)))
 	}
-	if wait := s.wait(now, svc, ask); now.Add(wait).After(ask.Deadline) {
+	if wait := svc.wait(now, ask); now.Add(wait).After(ask.Deadline) {
 		return refuse(ask.ID, core.ReasonBudget, "the wait would exceed the budget", retryAfter(wait-ask.Deadline.Sub(now)))
 	}
 	svc.queue.Push(queue.Item[Ask]{
@@ -163,26 +164,35 @@
 	return min(max(int(math.Ceil(wait.Seconds())), minRetryAfter), maxRetryAfter)
 }
 
-// wait estimates how long the call would queue.
-func (s *Scheduler) wait(now time.Time, svc *service, ask Ask) time.Duration {
-	slots := 0
-	for _, r := range svc.replicas {
-		if r.usable(now) {
-			slots += r.slots(now, s.options.Sharing, s.options.Hosts)
-		}
-	}
-	hold := svc.hold[ask.Class]
-	if slots == 0 || hold == 0 {
+// free counts a slot that has become free.
+func (svc *service) free(now time.Time) {
+	svc.freed = svc.freedRate(now) + 1/freedWindow.Seconds()
+	svc.freedAt = now
+}
+
+// freedRate returns how many slots become free a second.
+func (svc *service) freedRate(now time.Time) float64 {
+	return svc.freed * math.Exp(-now.Sub(svc.freedAt).Seconds()/freedWindow.Seconds())
+}
+
+// backlog estimates how long the calls that wait need to be placed.
+func (svc *service) backlog(now time.Time) time.Duration {
+	return svc.timeFor(now, svc.queue.Len(core.Short)+svc.queue.Len(core.Long))
+}
+
+func (svc *service) timeFor(now time.Time, calls int) time.Duration {
+	if calls == 0 {
 		return 0
 	}
-	if ask.Class == core.Long {
-		slots = longCap(slots, s.options.LongSlotShare)
-	}
-	// A workspace with a share of the queue waits for its own calls and for one
-	// of each other workspace between two of them.
+	rate := max(svc.freedRate(now), minFreedRate)
+	return time.Duration(float64(calls) / rate * float64(time.Second))
+}
+
+// wait estimates how long the call would queue. A workspace waits for its own
+// calls and, between two of them, for one of each other workspace that waits.
+func (svc *service) wait(now time.Time, ask Ask) time.Duration {
 	own := svc.queue.LenOf(ask.Workspace)
-	ahead := min(svc.queue.Len(ask.Class), (own+1)*max(1, svc.queue.Workspaces(ask.Class)))
-	return time.Duration(float64(ahead) * hold / float64(slots) * float64(time.Second))
+	return svc.timeFor(now, min(svc.queue.Len(ask.Class), (own+1)*max(1, svc.queue.Workspaces(ask.Class))))
 }
 
 // anyUsable reports whether a target is in use that the call does not avoid.
@@ -267,7 +277,7 @@
 	r.own[ask.Class]++
 	r.alone = r.alone || ask.Alone
 	r.lastPlaced = now
-	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, at: now, alone: ask.Alone}
+	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, alone: ask.Alone}
 	svc.affinity.Stored(ask.Prefix, r.Name)
 	return Decision{ID: ask.ID, Verdict: Granted, Target: r.Target, Alone: ask.Alone}
 }
@@ -283,12 +293,7 @@
 	if call.alone {
 		call.replica.alone = false
 	}
-	svc := s.service(call.replica.Service)
-	held := now.Sub(call.at).Seconds()
-	if svc.hold[call.class] == 0 {
-		svc.hold[call.class] = held
-	}
-	svc.hold[call.class] += holdDecay * (held - svc.hold[call.class])
+	s.service(call.replica.Service).free(now)
 }
 
 // Cancel takes a waiting call out of the queue and reports whether it was there.
@@ -312,7 +317,7 @@
 	for _, name := range sortedNames(s.services) {
 		svc := s.services[name]
 		for _, item := range svc.queue.Expired(now) {
-			out = append(out, refuse(item.Value.ID, core.ReasonBudget, "the wait exceeded the budget", retryAfter(s.wait(now, svc, item.Value))))
+			out = append(out, refuse(item.Value.ID, core.ReasonBudget, "the wait exceeded the budget", retryAfter(svc.wait(now, item.Value))))
 			s.queued--
 		}
 		for _, class := range svc.queue.Order(now) {
@@ -398,7 +403,7 @@
 		out.Slots += r.slots(now, s.options.Sharing, s.options.Hosts)
 		out.Busy += r.busy(now, s.options.Sharing)
 	}
-	out.WaitMs = int(s.wait(now, svc, Ask{Class: core.Short}).Milliseconds())
+	out.WaitMs = int(svc.backlog(now).Milliseconds())
 	return out
 }
 
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -119,6 +119,19 @@
 	return time.Duration(part * float64(d))
 }
 
+// Fallback returns another region for a call that was refused here for want of
+// room and was not run. The trip and the wait there must fit into the budget.
+func Fallback(in Input) (string, bool) {
+	if in.Received {
+		return "", false
+	}
+	best, ok := nearest(in, true)
+	if !ok || trip(best) > in.Budget || best.Summary.Busy >= best.Summary.Slots {
+		return "", false
+	}
+	return best.Region, true
+}
+
 // spill sends a part of the calls to the best other region, in proportion to
 // its free slots, so that not all hosts send everything there at once.
 func spill(in Input) Decision {
