internal/placer: let one host of a region place the calls of a service

Change: the first host by rendezvous hashing places a service's calls; the others ask it over their peer connections, tell it of ends and speeds, and place by themselves when it is silent for 500 ms.

--- a/internal/bench/policy/replica.go
+++ b/internal/bench/policy/replica.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"slices"
 	"time"
 )
 
@@ -207,7 +208,7 @@
 // lose takes the replica down with everything on it.
 func (r *replica) lose() {
 	r.down = true
-	all := append(r.running, r.waiting...)
+	all := slices.Concat(r.running, r.waiting)
 	r.running, r.waiting = nil, nil
 	for _, s := range all {
 		if !s.dropped {
--- a/internal/bench/policy/scenario.go
+++ b/internal/bench/policy/scenario.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -99,56 +100,75 @@
 	if err := decoder.Decode(&s); err != nil {
 		return Scenario{}, errors.Wrap(err, "scenario")
 	}
-	if problems := s.check(); len(problems) > 0 {
-		return Scenario{}, errors.New("scenario:\n" + strings.Join(problems, "\n"))
+	if found := s.check(); len(found) > 0 {
+		return Scenario{}, errors.New("scenario:\n" + strings.Join(found, "\n"))
 	}
 	return s, nil
 }
 
+// problems collects what is wrong with a scenario.
+type problems []string
+
+func (p *problems) require(ok bool, format string, args ...any) {
+	if !ok {
+		*p = append(*p, fmt.Sprintf(format, args...))
+	}
+}
+
 func (s Scenario) check() []string {
-	var problems []string
-	require := func(ok bool, format string, args ...any) {
-		if !ok {
-			problems = append(problems, fmt.Sprintf(format, args...))
-		}
+	p := &problems{}
+	p.require(s.Name != "", "Name: expected a name")
+	names := s.checkRegions(p)
+	p.require(s.OneWayMs >= 0 && s.InsideMs >= 0, "OneWayMs, InsideMs: expected milliseconds, zero or more")
+	s.Replica.check(p)
+	p.require(s.ReportLagMs >= 0, "ReportLagMs: expected milliseconds, zero or more")
+	p.require(s.DurationSec > s.WarmUpSec && s.WarmUpSec >= 0, "DurationSec: expected more seconds than WarmUpSec")
+	p.require(s.Load > 0, "Load: expected a positive share of the capacity")
+	s.Short.check(p, "Short")
+	s.Long.check(p, "Long")
+	p.require(s.LongShare >= 0 && s.LongShare <= 1, "LongShare: expected a share from 0 to 1")
+	p.require(s.HomeShare >= 0 && s.HomeShare <= 1, "HomeShare: expected a share from 0 to 1")
+	p.require(s.Workspaces > 0, "Workspaces: expected a positive number")
+	p.require(s.BudgetMs > 0, "BudgetMs: expected positive milliseconds")
+	p.require(s.Prefixes > 0, "Prefixes: expected a positive number")
+	for i, e := range s.Events {
+		e.check(p, i, names)
 	}
-	require(s.Name != "", "Name: expected a name")
-	require(len(s.Regions) > 0, "Regions: expected at least one")
+	return *p
+}
+
+func (s Scenario) checkRegions(p *problems) map[string]bool {
+	p.require(len(s.Regions) > 0, "Regions: expected at least one")
 	names := map[string]bool{}
 	for i, r := range s.Regions {
-		require(r.Name != "" && !names[r.Name], "Regions[%d].Name: expected a name of its own, got %q", i, r.Name)
+		p.require(r.Name != "" && !names[r.Name], "Regions[%d].Name: expected a name of its own, got %q", i, r.Name)
 		names[r.Name] = true
-		require(r.Hosts > 0, "Regions[%d].Hosts: expected a positive number", i)
-		require(r.Replicas > 0, "Regions[%d].Replicas: expected a positive number", i)
-		require(r.Load >= 0 && r.PeakSec >= 0 && r.PeakShare >= 0 && r.PeakShare <= 1, "Regions[%d]: expected Load and PeakSec of zero or more and a PeakShare from 0 to 1", i)
-	}
-	require(s.OneWayMs >= 0 && s.InsideMs >= 0, "OneWayMs, InsideMs: expected milliseconds, zero or more")
-	require(s.Replica.Slots > 0, "Replica.Slots: expected a positive number")
-	require(s.Replica.StepMs > 0, "Replica.StepMs: expected positive milliseconds")
-	require(s.Replica.StepPerSequenceMs >= 0, "Replica.StepPerSequenceMs: expected milliseconds, zero or more")
-	require(s.Replica.PrefillTokensPerSecond > 0, "Replica.PrefillTokensPerSecond: expected a positive number")
-	require(s.ReportLagMs >= 0, "ReportLagMs: expected milliseconds, zero or more")
-	require(s.DurationSec > s.WarmUpSec && s.WarmUpSec >= 0, "DurationSec: expected more seconds than WarmUpSec")
-	require(s.Load > 0, "Load: expected a positive share of the capacity")
-	for _, c := range []struct {
-		name  string
-		class Class
-	}{{"Short", s.Short}, {"Long", s.Long}} {
-		require(c.class.Tokens[0] > 0 && c.class.Tokens[1] >= c.class.Tokens[0], "%s.Tokens: expected a smallest and a largest number", c.name)
-		require(c.class.Prompt[0] > 0 && c.class.Prompt[1] >= c.class.Prompt[0], "%s.Prompt: expected a smallest and a largest number", c.name)
+		p.require(r.Hosts > 0, "Regions[%d].Hosts: expected a positive number", i)
+		p.require(r.Replicas > 0, "Regions[%d].Replicas: expected a positive number", i)
+		p.require(r.Load >= 0 && r.PeakSec >= 0, "Regions[%d]: expected Load and PeakSec of zero or more", i)
+		p.require(r.PeakShare >= 0 && r.PeakShare <= 1, "Regions[%d].PeakShare: expected a share from 0 to 1", i)
 	}
-	require(s.LongShare >= 0 && s.LongShare <= 1, "LongShare: expected a share from 0 to 1")
-	require(s.HomeShare >= 0 && s.HomeShare <= 1, "HomeShare: expected a share from 0 to 1")
-	require(s.Workspaces > 0, "Workspaces: expected a positive number")
-	require(s.BudgetMs > 0, "BudgetMs: expected positive milliseconds")
-	require(s.Prefixes > 0, "Prefixes: expected a positive number")
-	for i, e := range s.Events {
-		known := e.Kind == Slow || e.Kind == RegionLost || e.Kind == Crowd || e.Kind == Flood || e.Kind == LinkCut
-		require(known, "Events[%d].Kind: expected Slow, RegionLost, Crowd, Flood or LinkCut, got %q", i, e.Kind)
-		require(e.ForSec > 0 && e.AtSec >= 0 && e.EverySec >= 0, "Events[%d]: expected a positive ForSec, and AtSec and EverySec of zero or more", i)
-		require(e.Kind == Slow || names[e.Region], "Events[%d].Region: expected a region of the scenario, got %q", i, e.Region)
-		require(e.Kind != Slow || (e.Share > 0 && e.Share <= 1), "Events[%d].Share: expected a share from 0 to 1", i)
-		require(e.Kind == RegionLost || e.Kind == LinkCut || e.Factor > 1, "Events[%d].Factor: expected a factor above 1", i)
-	}
-	return problems
+	return names
+}
+
+func (r Replica) check(p *problems) {
+	p.require(r.Slots > 0, "Replica.Slots: expected a positive number")
+	p.require(r.StepMs > 0, "Replica.StepMs: expected positive milliseconds")
+	p.require(r.StepPerSequenceMs >= 0, "Replica.StepPerSequenceMs: expected milliseconds, zero or more")
+	p.require(r.PrefillTokensPerSecond > 0, "Replica.PrefillTokensPerSecond: expected a positive number")
+}
+
+func (c Class) check(p *problems, name string) {
+	p.require(c.Tokens[0] > 0 && c.Tokens[1] >= c.Tokens[0], "%s.Tokens: expected a smallest and a largest number", name)
+	p.require(c.Prompt[0] > 0 && c.Prompt[1] >= c.Prompt[0], "%s.Prompt: expected a smallest and a largest number", name)
+}
+
+func (e Event) check(p *problems, i int, regions map[string]bool) {
+	kinds := []EventKind{Slow, RegionLost, Crowd, Flood, LinkCut}
+	p.require(slices.Contains(kinds, e.Kind), "Events[%d].Kind: expected one of %v, got %q", i, kinds, e.Kind)
+	p.require(e.ForSec > 0, "Events[%d].ForSec: expected positive seconds", i)
+	p.require(e.AtSec >= 0 && e.EverySec >= 0, "Events[%d]: expected AtSec and EverySec of zero or more", i)
+	p.require(e.Kind == Slow || regions[e.Region], "Events[%d].Region: expected a region of the scenario, got %q", i, e.Region)
+	p.require(e.Kind != Slow || (e.Share > 0 && e.Share <= 1), "Events[%d].Share: expected a share from 0 to 1", i)
+	p.require(e.Kind == RegionLost || e.Kind == LinkCut || e.Factor > 1, "Events[%d].Factor: expected a factor above 1", i)
 }
--- a/internal/daemon/announce.go
+++ b/internal/daemon/announce.go
@@ -7,9 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/duty"
-	"github.com/sequoiarack/sequoiarack/internal/placement"
 )
 
 const (
@@ -27,14 +25,10 @@
 	TTLSeconds int    `json:"TTLSeconds"`
 }
 
-// announce is the duty that tells other data centres of the load here, and the
-// client directory of this host.
+// announce is the duty that keeps this host in the client directory.
 func (d *Daemon) announce(ctx context.Context) error {
 	var entered time.Time
 	return duty.Every(ctx, d.clock, announceInterval, func(ctx context.Context) {
-		if d.gossip.View().FirstDelegate {
-			d.postLoad(ctx)
-		}
 		if now := d.clock.Now(); now.Sub(entered) >= directoryInterval && !d.draining.Load() && d.feed.State().Version > 0 {
 			entered = now
 			d.enterDirectory(ctx)
@@ -42,17 +36,6 @@
 	})
 }
 
-func (d *Daemon) postLoad(ctx context.Context) {
-	services := d.index().Document.Services
-	report := centreReport{Region: d.settings.Region, Services: map[string]placement.Summary{}}
-	snapshot, err := d.dispatcher.Snapshot(ctx, sortedNames(services)...)
-	if err != nil {
-		return
-	}
-	report.Services = snapshot.Services
-	d.post(loadKeyPrefix+d.settings.DataCentre, d.clock.Now().UnixMilli(), bulletin.Fleet, loadTTLSeconds, report, false)
-}
-
 func (d *Daemon) enterDirectory(ctx context.Context) {
 	body, err := json.Marshal(directoryEntry{
 		Host: d.settings.Host, Region: d.settings.Region, DataCentre: d.settings.DataCentre,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
+	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/seal"
 	"github.com/sequoiarack/sequoiarack/internal/settings"
 )
@@ -64,6 +65,11 @@
 	feed       *feed.Feed
 	gossip     *gossip.Service
 	dispatcher *dispatch.Dispatcher
+	placer     *placer.Client
+	placing    *placer.Server
+	placements *exchange.Pool // to placing hosts
+	placed     *link.Counter
+	hedging    hedgeTable
 	committer  *claim.Committer
 	book       *claim.Book
 	hangups    *hangup.Watch
@@ -118,6 +124,10 @@
 	d.store = etcd.NewClient(exchange.NewPool(d.control), s.StoreAddresses)
 	d.ledger = ledger.New(d.store, d.clock.Now)
 	d.dispatcher = dispatch.New(d.clock, d.placementOptions(config.DefaultLimits(), 1), rand.Uint64())
+	d.placed = link.NewCounter(d.network)
+	d.placements = exchange.NewPool(d.placed)
+	d.placing = placer.NewServer(d.dispatcher, d.clock)
+	d.placer = placer.NewClient(d.instance(), d.dispatcher, d.clock, d.askPlacing, d.placingHost)
 	d.committer = claim.NewCommitter(d.store, d.clock, claimRetention)
 	d.book = claim.NewBook(claimRetention + bookMargin)
 	d.feed = feed.New(d.ledger,
@@ -175,6 +185,8 @@
 	group.Go("store feed", d.feed.FollowStore)
 	group.Go("peer feed", d.feed.FollowPeers)
 	group.Go("dispatcher", d.dispatcher.Run)
+	group.Go("placer", d.placer.Run)
+	group.Go("placing", d.place)
 	group.Go("claims", d.committer.Run)
 	group.Go("hang-ups", func(ctx context.Context) error { return d.hangups.Run(ctx, d.clock) })
 	group.Go("prober", d.probe)
@@ -187,6 +199,7 @@
 	d.pool.Close()
 	d.peers.Close()
 	d.controls.Close()
+	d.placements.Close()
 	return err
 }
 
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -64,31 +64,35 @@
 // Dump is the state of a host at one moment. It holds no data and no secret of
 // a caller.
 type Dump struct {
-	Host          string
-	Region        string
-	DataCentre    string
-	Incarnation   int64
-	At            time.Time
-	Draining      bool
-	Version       uint64
-	StoreUp       bool
-	StoreBehind   bool
-	Delegate      bool
-	InFlight      int64
-	Waiting       int
-	Quarantined   int
-	RunningKeys   int
-	Members       []member.Info
-	CutCentres    []string
-	Targets       []placement.TargetState
-	Services      map[string]placement.Summary
-	Facts         []factRow
-	Goroutines    int
-	HeapBytes     uint64
-	SentBytes     int64
-	ReceivedBytes int64
-	ClaimWrites   int64
-	Claims        int64
+	Host            string
+	Region          string
+	DataCentre      string
+	Incarnation     int64
+	At              time.Time
+	Draining        bool
+	Version         uint64
+	StoreUp         bool
+	StoreBehind     bool
+	Delegate        bool
+	InFlight        int64
+	Waiting         int
+	Quarantined     int
+	RunningKeys     int
+	Members         []member.Info
+	CutCentres      []string
+	Targets         []placement.TargetState
+	Services        map[string]placement.Summary
+	Facts           []factRow
+	Goroutines      int
+	HeapBytes       uint64
+	SentBytes       int64
+	ReceivedBytes   int64
+	PlacementSent   int64
+	AskedElsewhere  int64
+	PlacedAlone     int64
+	GrantedToOthers int
+	ClaimWrites     int64
+	Claims          int64
 }
 
 type factRow struct {
@@ -118,6 +122,7 @@
 		Targets: snapshot.Targets, Services: snapshot.Services, Facts: d.factRows(ctx),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 		SentBytes: sent, ReceivedBytes: received,
+		PlacementSent: d.placed.Sent(), AskedElsewhere: d.placer.Asked.Load(), PlacedAlone: d.placer.Alone.Load(), GrantedToOthers: d.placing.Granted(),
 		ClaimWrites: d.committer.Transactions.Load(), Claims: d.committer.Claims.Load(),
 	}
 }
--- a/internal/daemon/flight.go
+++ b/internal/daemon/flight.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/dispatch"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/quarantine"
 	"github.com/sequoiarack/sequoiarack/internal/region"
 	"github.com/sequoiarack/sequoiarack/internal/retry"
@@ -126,7 +127,7 @@
 				return last
 			}
 		}
-		placed, refusal := f.d.dispatcher.Acquire(f.ctx, f.call.request(f.d, extra, avoid))
+		placed, refusal := f.d.placer.Acquire(f.ctx, f.d.settings.Host, f.call.request(f.d, extra, avoid))
 		if refusal != nil {
 			if n > 0 {
 				return last
@@ -158,7 +159,7 @@
 }
 
 // learn tells the duties what an attempt has shown of its target.
-func (f *flight) learn(placed dispatch.Placement, err error) {
+func (f *flight) learn(placed placer.Grant, err error) {
 	ctx := context.WithoutCancel(f.ctx)
 	name := placed.Target.Name
 	switch kind, _ := failure.KindOf[attempt.Kind](err); kind {
@@ -189,11 +190,11 @@
 
 // attempt runs the call at one target. The slot is released by the end of the
 // call, or here when there is none to relay.
-func (f *flight) attempt(placed dispatch.Placement) (result, error) {
+func (f *flight) attempt(placed placer.Grant) (result, error) {
 	if f.call.stream {
 		return f.openAny(placed)
 	}
-	defer f.d.dispatcher.Release(f.ctx, placed)
+	defer f.d.placer.Release(f.ctx, placed)
 	answer, err := f.d.attempts.Whole(f.ctx, placed.Target.Address, f.call.attempt(f.d), f.call.index.Document.Limits.MaxAnswerBytes)
 	if err != nil {
 		f.cancelWork(placed.Target.Address)
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -12,7 +12,9 @@
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/config"
 	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/feed"
+	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/residency"
 )
 
@@ -40,6 +42,10 @@
 	case path == pathPeerConfig:
 		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 		writeJSON(ctx, fasthttp.StatusOK, d.feed.Since(after))
+	case path == placer.PathPlace:
+		d.servePlacing(ctx, d.placing.Place)
+	case path == placer.PathSettle:
+		d.servePlacing(ctx, d.settle)
 	case strings.HasPrefix(path, pathPeerClaims):
 		d.serveClaim(ctx, strings.TrimPrefix(path, pathPeerClaims))
 	default:
@@ -132,11 +138,18 @@
 	defer cancel()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
+	return d.exchangeSealed(ctx, d.controls, request, address, path, v)
+}
+
+// exchangeSealed seals a request to another host and reads its JSON answer into
+// v, unless that is nil.
+func (d *Daemon) exchangeSealed(ctx context.Context, pool *exchange.Pool, request *fasthttp.Request, address, path string, v any) error {
 	request.SetRequestURI("http://" + address + path)
 	request.Header.Set(core.HeaderSignedAt, strconv.FormatInt(d.clock.Now().UnixMilli(), 10))
 	header := func(name string) string { return string(request.Header.Peek(name)) }
-	request.Header.Set(core.HeaderSignature, d.sealer.Seal(signedParts(header, fasthttp.MethodGet, path, nil)...))
-	response, err := d.controls.Do(ctx, address, request)
+	parts := signedParts(header, string(request.Header.Method()), path, request.Body())
+	request.Header.Set(core.HeaderSignature, d.sealer.Seal(parts...))
+	response, err := pool.Do(ctx, address, request)
 	if err != nil {
 		return err
 	}
@@ -147,6 +160,9 @@
 	if response.Status() != fasthttp.StatusOK {
 		return errPeer
 	}
+	if v == nil {
+		return nil
+	}
 	return json.Unmarshal(body, v)
 }
 
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -1,14 +1,12 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/config"
@@ -79,9 +77,7 @@
 // ranksFor reports whether this host is one of the first for a name by
 // rendezvous hashing.
 func (d *Daemon) ranksFor(name string, mates []member.Info) bool {
-	slices.SortFunc(mates, func(a, b member.Info) int {
-		return cmp.Compare(xxhash.Sum64String(name+a.Host), xxhash.Sum64String(name+b.Host))
-	})
+	slices.SortFunc(mates, byHash(name))
 	first := mates[:min(len(mates), probersOfTarget)]
 	return slices.ContainsFunc(first, func(m member.Info) bool { return m.Host == d.settings.Host })
 }
--- a/internal/daemon/regions.go
+++ b/internal/daemon/regions.go
@@ -13,18 +13,21 @@
 	"github.com/sequoiarack/sequoiarack/internal/region"
 )
 
-// regionTable holds what hosts of other data centres say of their load, and the
+// regionTable holds what placing hosts say of their load, and the
 // choosers of the services.
 type regionTable struct {
 	mu       sync.Mutex
-	reports  map[string]centreReport // by data centre
+	reports  map[string]loadReport // by region and service
 	choosers map[string]*region.Chooser
 }
 
-type centreReport struct {
-	at       time.Time
-	Region   string                       `json:"Region"`
-	Services map[string]placement.Summary `json:"Services"`
+// loadReport is what the host says that places the calls of a service for its
+// region.
+type loadReport struct {
+	at      time.Time
+	Region  string            `json:"Region"`
+	Service string            `json:"Service"`
+	Summary placement.Summary `json:"Summary"`
 }
 
 const (
@@ -35,37 +38,27 @@
 )
 
 func (t *regionTable) take(now time.Time, item bulletin.Item) {
-	report := centreReport{at: now}
+	report := loadReport{at: now}
 	if json.Unmarshal(item.Value, &report) != nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.reports == nil {
-		t.reports = map[string]centreReport{}
+		t.reports = map[string]loadReport{}
 	}
 	t.reports[strings.TrimPrefix(item.Key, loadKeyPrefix)] = report
 }
 
-// summary adds up what is known of a region's targets of a service.
+// summary returns what is known of a region's targets of a service.
 func (t *regionTable) summary(now time.Time, name, service string) (placement.Summary, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := placement.Summary{}
-	known := false
-	for _, report := range t.reports {
-		if report.Region != name || now.Sub(report.at) > reportLifetime {
-			continue
-		}
-		known = true
-		s := report.Services[service]
-		out.Slots += s.Slots
-		out.Busy += s.Busy
-		out.Queued += s.Queued
-		out.Usable += s.Usable
-		out.WaitMs = max(out.WaitMs, s.WaitMs)
+	report, ok := t.reports[name+"/"+service]
+	if !ok || now.Sub(report.at) > reportLifetime {
+		return placement.Summary{}, false
 	}
-	return out, known
+	return report.Summary, true
 }
 
 func (t *regionTable) choose(service string, in region.Input) region.Decision {
@@ -91,9 +84,7 @@
 		Region: d.settings.Region, Allowed: c.allowed, Passed: c.passed, Received: c.received,
 		Budget: c.budget(), Draw: rand.Float64(),
 	}
-	if snapshot, err := d.dispatcher.Summary(ctx, c.serviceName); err == nil {
-		in.Local = snapshot
-	}
+	in.Local = d.localSummary(ctx, c.serviceName)
 	if c.received {
 		return in
 	}
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/dispatch"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/straggler"
 )
 
@@ -21,14 +22,14 @@
 type openStream struct {
 	stream *attempt.Stream
 	first  []byte
-	ended  bool // the first event is the terminator
-	name   string
+	ended  bool         // the first event is the terminator
+	grant  placer.Grant // its target has no name when another host sent it
 	done   func()
 }
 
 // entrant is one of the attempts of a call that race for the first event.
 type entrant struct {
-	placed dispatch.Placement
+	placed placer.Grant
 	cancel context.CancelFunc
 	began  time.Time
 }
@@ -43,7 +44,7 @@
 // openAny opens a stream at the placed target and, when its first event is
 // late, at another one. The first to bring an event wins; the other is
 // cancelled.
-func (f *flight) openAny(placed dispatch.Placement) (result, error) {
+func (f *flight) openAny(placed placer.Grant) (result, error) {
 	ends := make(chan raceEnd, 2)
 	entrants := []*entrant{f.enter(placed, ends)}
 	hedge := f.d.clock.After(f.hedgeDelay())
@@ -51,6 +52,7 @@
 	for running := 1; running > 0; {
 		select {
 		case <-hedge:
+			f.d.placer.ObserveSpeed(placed, straggler.FirstToken, f.d.clock.Now().Sub(entrants[0].began))
 			if other, ok := f.hedge(placed); ok {
 				entrants = append(entrants, f.enter(other, ends))
 				running++
@@ -60,7 +62,7 @@
 			running--
 			if end.err != nil {
 				f.lose(end.entrant, end.err)
-				if end.entrant.placed.ID != placed.ID {
+				if end.entrant != entrants[0] {
 					f.learn(end.entrant.placed, end.err)
 				} else {
 					failed = end.err
@@ -74,7 +76,7 @@
 	return result{}, failed
 }
 
-func (f *flight) enter(placed dispatch.Placement, ends chan<- raceEnd) *entrant {
+func (f *flight) enter(placed placer.Grant, ends chan<- raceEnd) *entrant {
 	ctx, cancel := context.WithCancel(f.ctx)
 	e := &entrant{placed: placed, cancel: cancel, began: f.d.clock.Now()}
 	go func() { ends <- f.open(ctx, e) }()
@@ -98,14 +100,16 @@
 	if load, ok := stream.Load(); ok {
 		f.d.dispatcher.ReportLoad(e.placed.Target.Name, load)
 	}
-	f.d.dispatcher.ObserveSpeed(e.placed.Target.Name, straggler.FirstToken, f.d.clock.Now().Sub(e.began))
-	return raceEnd{entrant: e, open: &openStream{stream: stream, first: slices.Clone(event), ended: ended, name: e.placed.Target.Name}}
+	took := f.d.clock.Now().Sub(e.began)
+	f.d.hedging.observe(f.call.serviceName, took)
+	f.d.placer.ObserveSpeed(e.placed, straggler.FirstToken, took)
+	return raceEnd{entrant: e, open: &openStream{stream: stream, first: slices.Clone(event), ended: ended, grant: e.placed}}
 }
 
 // lose gives up an entrant, which failed with err unless that is nil.
 func (f *flight) lose(e *entrant, err error) {
 	e.cancel()
-	f.d.dispatcher.Release(f.ctx, e.placed)
+	f.d.placer.Release(f.ctx, e.placed)
 	if kind, ok := failure.KindOf[attempt.Kind](err); !ok || kind.Outcome() != core.NotRun {
 		f.cancelWork(e.placed.Target.Address)
 	}
@@ -134,7 +138,7 @@
 	e := end.entrant
 	done := func() {
 		e.cancel()
-		f.d.dispatcher.Release(f.ctx, e.placed)
+		f.d.placer.Release(f.ctx, e.placed)
 	}
 	r := result{answer: end.answer, stream: end.open, target: e.placed.Target.Name, region: f.d.settings.Region}
 	if end.open == nil {
@@ -148,25 +152,26 @@
 // hedgeDelay is how long the first event may take before another target is
 // tried.
 func (f *flight) hedgeDelay() time.Duration {
-	return time.Duration(f.call.service.FirstTokenBudgetMs) * time.Millisecond / 2
+	return f.d.hedging.delay(f.call.serviceName, time.Duration(f.call.service.FirstTokenBudgetMs)*time.Millisecond)
 }
 
 // hedge asks for a second target, which must be free at once.
-func (f *flight) hedge(placed dispatch.Placement) (dispatch.Placement, bool) {
+func (f *flight) hedge(placed placer.Grant) (placer.Grant, bool) {
 	if f.ctx.Err() != nil || placed.Alone {
-		return dispatch.Placement{}, false
+		return placer.Grant{}, false
 	}
 	request := f.call.request(f.d, dispatch.Hedge, []string{placed.Target.Name})
 	request.Ask.Deadline = f.d.clock.Now()
-	other, refusal := f.d.dispatcher.Acquire(f.ctx, request)
+	other, refusal := f.d.placer.Acquire(f.ctx, f.d.settings.Host, request)
 	if refusal != nil {
-		return dispatch.Placement{}, false
+		return placer.Grant{}, false
 	}
 	f.d.metrics.add(countHedges, 1)
 	return other, true
 }
 
-const samplesEvery = 32 // events between two samples of a stream's speed
+// sampleInterval is the shortest time between two samples of a stream's speed.
+const sampleInterval = 300 * time.Millisecond
 
 // relay gives a stream to the caller, event by event.
 func (f *flight) relay(ctx *fasthttp.RequestCtx, open *openStream) {
@@ -187,7 +192,8 @@
 	ended   bool   // no event follows the pending one
 	closed  bool
 	events  int
-	mark    time.Time
+	mark    time.Time // of the last sample
+	marked  int       // events at that time
 }
 
 // Read implements io.Reader.
@@ -225,14 +231,20 @@
 		return true
 	}
 	r.events++
-	if r.events%samplesEvery == 0 && r.open.name != "" {
-		now := f.d.clock.Now()
-		f.d.dispatcher.ObserveSpeed(r.open.name, straggler.PerToken, now.Sub(r.mark)/samplesEvery)
-		r.mark = now
-	}
+	r.sample(f.d.clock.Now())
 	return true
 }
 
+// sample tells of the pace of the last events.
+func (r *relayReader) sample(now time.Time) {
+	since := now.Sub(r.mark)
+	if since < sampleInterval || r.open.grant.Target.Name == "" {
+		return
+	}
+	r.flight.d.placer.ObserveSpeed(r.open.grant, straggler.PerToken, since/time.Duration(r.events-r.marked))
+	r.mark, r.marked = now, r.events
+}
+
 // Close implements io.Closer. The server calls it at the end of the stream, and
 // when the caller has gone.
 func (r *relayReader) Close() error {
@@ -254,7 +266,7 @@
 	open.stream.Finish()
 	f.d.metrics.add(countEvents, int64(events))
 	f.d.metrics.add(countResumes, int64(open.stream.Resumed()))
-	if open.name != "" {
+	if open.grant.Target.Name != "" {
 		f.d.dispatcher.ObserveLength(f.call.workspace, f.call.serviceName, f.call.limit, events)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -114,22 +114,25 @@
 	Alone  bool
 }
 
-type askMessage struct {
+type prepared struct {
+	ask     placement.Ask
+	refusal *core.Refusal
+}
+
+type prepareMessage struct {
 	request Request
-	reply   chan placement.Decision
+	reply   chan prepared
 }
 
-func (m askMessage) apply(d *Dispatcher, now time.Time) {
-	d.lastID++
+func (m prepareMessage) apply(d *Dispatcher, now time.Time) {
 	ask := m.request.Ask
-	ask.ID = d.lastID
 	if refusal := d.budget(m.request.Extra); refusal != nil {
-		m.reply <- placement.Decision{Verdict: placement.Refused, Refusal: refusal}
+		m.reply <- prepared{refusal: refusal}
 		return
 	}
 	switch d.register.Judge(now, m.request.Digest) {
 	case quarantine.Quarantined:
-		m.reply <- placement.Decision{Verdict: placement.Refused, Refusal: &core.Refusal{
+		m.reply <- prepared{refusal: &core.Refusal{
 			Status: statusUnprocessable, Reason: core.ReasonQuarantined, Outcome: core.NotRun,
 			Message: "the request has ended two targets and is not run again",
 		}}
@@ -141,9 +144,31 @@
 	prediction := d.predictor.Predict(m.request.Workspace, m.request.Service, m.request.Limit, m.request.LongCut)
 	ask.Service, ask.Workspace = m.request.Service, m.request.Workspace
 	ask.Class, ask.Tokens = prediction.Class, prediction.Tokens
-	decision := d.scheduler.Submit(now, ask)
+	m.reply <- prepared{ask: ask}
+}
+
+// Prepare judges a call before it is placed: budgets, quarantine, and its
+// expected length.
+func (d *Dispatcher) Prepare(ctx context.Context, request Request) (placement.Ask, *core.Refusal) {
+	reply := make(chan prepared, 1)
+	if err := d.ring.Put(ctx, prepareMessage{request: request, reply: reply}); err != nil {
+		return placement.Ask{}, cancelled()
+	}
+	out := <-reply
+	return out.ask, out.refusal
+}
+
+type askMessage struct {
+	ask   placement.Ask
+	reply chan placement.Decision
+}
+
+func (m askMessage) apply(d *Dispatcher, now time.Time) {
+	d.lastID++
+	m.ask.ID = d.lastID
+	decision := d.scheduler.Submit(now, m.ask)
 	if decision.Verdict == placement.Queued {
-		d.waiting[ask.ID] = m.reply
+		d.waiting[m.ask.ID] = m.reply
 	}
 	m.reply <- decision
 }
@@ -178,10 +203,10 @@
 	}
 }
 
-// Acquire waits for a target. It returns a refusal when there is none in time.
-func (d *Dispatcher) Acquire(ctx context.Context, request Request) (Placement, *core.Refusal) {
+// Place waits for a target. It returns a refusal when there is none in time.
+func (d *Dispatcher) Place(ctx context.Context, ask placement.Ask) (Placement, *core.Refusal) {
 	reply := make(chan placement.Decision, 2)
-	if err := d.ring.Put(ctx, askMessage{request: request, reply: reply}); err != nil {
+	if err := d.ring.Put(ctx, askMessage{ask: ask, reply: reply}); err != nil {
 		return Placement{}, cancelled()
 	}
 	first := <-reply
@@ -196,7 +221,7 @@
 		select {
 		case decision = <-reply:
 		case <-ctx.Done():
-			d.tell(context.WithoutCancel(ctx), cancelMessage{service: request.Service, id: first.ID})
+			d.tell(context.WithoutCancel(ctx), cancelMessage{service: ask.Service, id: first.ID})
 			return Placement{}, cancelled()
 		}
 	}
@@ -392,3 +417,12 @@
 
 // OfferEvidence notes evidence against a request unless the ring is full.
 func (d *Dispatcher) OfferEvidence(e quarantine.Evidence) { d.ring.Offer(evidenceMessage{e}) }
+
+type ownMessage struct{ services map[string]bool }
+
+func (m ownMessage) apply(d *Dispatcher, _ time.Time) { d.scheduler.SetOwned(m.services) }
+
+// SetOwned names the services that this host places calls of for its region.
+func (d *Dispatcher) SetOwned(ctx context.Context, services map[string]bool) {
+	d.tell(ctx, ownMessage{services})
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -19,7 +19,8 @@
 	probePause      = 500 * time.Millisecond // between calls to a target that was ejected
 	minRetryAfter   = 1                      // second
 	freedWindow     = 4 * time.Second
-	minFreedRate    = 0.1 // slots a second
+	minFreedRate    = 0.01 // slots a second
+	holdDecay       = 0.02
 	maxRetryAfter   = 60
 )
 
@@ -47,13 +48,17 @@
 	queue    *queue.Queue[Ask]
 	detector *straggler.Detector
 	affinity *affinity.Index
+	owned    bool    // this host places the calls of the whole region
 	freed    float64 // slots freed a second, decaying
 	freedAt  time.Time
+	hold     float64 // mean seconds on a slot
+	busy     int     // slots that this host's calls hold
 }
 
 type placedCall struct {
 	replica *replica
 	class   core.Class
+	at      time.Time
 	alone   bool
 }
 
@@ -111,6 +116,22 @@
 	return svc
 }
 
+// SetOwned names the services whose calls this host places for its whole
+// region. The others are shared as the options say.
+func (s *Scheduler) SetOwned(services map[string]bool) {
+	for name, svc := range s.services {
+		svc.owned = services[name]
+	}
+}
+
+// sharing returns how the targets of a service are shared.
+func (s *Scheduler) sharing(svc *service) Sharing {
+	if svc.owned {
+		return Exclusive
+	}
+	return s.options.Sharing
+}
+
 // Submit decides on a new call.
 func (s *Scheduler) Submit(now time.Time, ask Ask) Decision {
 	svc := s.services[ask.Service]
@@ -180,11 +201,20 @@
 	return svc.timeFor(now, svc.queue.Len(core.Short)+svc.queue.Len(core.Long))
 }
 
+// timeFor estimates how long it takes until as many slots have become free. It
+// is zero while nothing is known.
 func (svc *service) timeFor(now time.Time, calls int) time.Duration {
 	if calls == 0 {
 		return 0
 	}
-	rate := max(svc.freedRate(now), minFreedRate)
+	rate := svc.freedRate(now)
+	if svc.hold > 0 {
+		// After a lull nothing has become free of late, though it soon will.
+		rate = max(rate, float64(svc.busy)/svc.hold)
+	}
+	if rate < minFreedRate {
+		return 0
+	}
 	return time.Duration(float64(calls) / rate * float64(time.Second))
 }
 
@@ -204,7 +234,7 @@
 
 // choose returns the target for the call, or nil when all are full.
 func (s *Scheduler) choose(now time.Time, svc *service, ask *Ask) *replica {
-	if s.options.Sharing == TwoChoices {
+	if s.sharing(svc) == TwoChoices {
 		return s.chooseOfTwo(now, svc, ask)
 	}
 	var best *replica
@@ -255,21 +285,21 @@
 		return false
 	}
 	if ask.Alone {
-		return r.busy(now, s.options.Sharing) == 0
+		return r.busy(now, s.sharing(svc)) == 0
 	}
 	if svc.detector.Probated(r.Name) && now.Sub(r.lastPlaced) < probePause {
 		return false
 	}
-	slots := r.slots(now, s.options.Sharing, s.options.Hosts)
+	slots := r.slots(now, s.sharing(svc), s.options.Hosts)
 	if ask.Class == core.Long && r.own[core.Long] >= longCap(slots, s.options.LongSlotShare) {
 		return false
 	}
-	return r.busy(now, s.options.Sharing) < slots
+	return r.busy(now, s.sharing(svc)) < slots
 }
 
 // score is the share of slots in use, less what a warm cache is worth.
 func (s *Scheduler) score(now time.Time, svc *service, r *replica, ask *Ask) float64 {
-	busy := float64(r.busy(now, s.options.Sharing)) / float64(r.Slots)
+	busy := float64(r.busy(now, s.sharing(svc))) / float64(r.Slots)
 	return busy - affinityBonus*float64(svc.affinity.Match(ask.Prefix, r.Name))
 }
 
@@ -277,7 +307,8 @@
 	r.own[ask.Class]++
 	r.alone = r.alone || ask.Alone
 	r.lastPlaced = now
-	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, alone: ask.Alone}
+	svc.busy++
+	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, at: now, alone: ask.Alone}
 	svc.affinity.Stored(ask.Prefix, r.Name)
 	return Decision{ID: ask.ID, Verdict: Granted, Target: r.Target, Alone: ask.Alone}
 }
@@ -293,7 +324,14 @@
 	if call.alone {
 		call.replica.alone = false
 	}
-	s.service(call.replica.Service).free(now)
+	svc := s.service(call.replica.Service)
+	svc.free(now)
+	svc.busy--
+	held := now.Sub(call.at).Seconds()
+	if svc.hold == 0 {
+		svc.hold = held
+	}
+	svc.hold += holdDecay * (held - svc.hold)
 }
 
 // Cancel takes a waiting call out of the queue and reports whether it was there.
@@ -400,8 +438,8 @@
 			continue
 		}
 		out.Usable++
-		out.Slots += r.slots(now, s.options.Sharing, s.options.Hosts)
-		out.Busy += r.busy(now, s.options.Sharing)
+		out.Slots += r.slots(now, s.sharing(svc), s.options.Hosts)
+		out.Busy += r.busy(now, s.sharing(svc))
 	}
 	out.WaitMs = int(svc.backlog(now).Milliseconds())
 	return out
