--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,150 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/link"
+)
+
+// peer answers each request with what script writes to the connection. It
+// counts connections.
+func peer(script func(n int64, c net.Conn)) (address string, connections *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	connections = &atomic.Int64{}
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				reader := bufio.NewReader(c)
+				for {
+					var request fasthttp.Request
+					if request.Read(reader) != nil {
+						return
+					}
+					script(requests.Add(1), c)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func whole(text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func get(ctx context.Context, pool *exchange.Pool, address string) (string, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + address + "/")
+	response, err := pool.Do(ctx, address, request)
+	if err != nil {
+		return "", err
+	}
+	body, err := response.ReadAll(1 << 20)
+	return string(body), err
+}
+
+func kindOf(err error) exchange.Kind {
+	kind, ok := failure.KindOf[exchange.Kind](err)
+	ExpectWithOffset(1, ok).To(BeTrue(), "%v", err)
+	return kind
+}
+
+var _ = Describe("a pool", func() {
+	var pool *exchange.Pool
+	var ctx context.Context
+
+	BeforeEach(func() {
+		pool = exchange.NewPool(link.NewSystem(""))
+		DeferCleanup(pool.Close)
+		ctx = context.Background()
+	})
+
+	It("uses a connection again after a whole answer", func() {
+		address, connections := peer(func(n int64, c net.Conn) { _, _ = c.Write([]byte(whole(fmt.Sprint(n)))) })
+		for n := 1; n <= 3; n++ {
+			Expect(get(ctx, pool, address)).To(Equal(fmt.Sprint(n)))
+		}
+		Expect(connections.Load()).To(Equal(int64(1)))
+	})
+
+	It("does not hand a late answer to the next caller", func() {
+		late := make(chan struct{})
+		address, connections := peer(func(n int64, c net.Conn) {
+			if n == 1 {
+				<-late
+			}
+			_, _ = c.Write([]byte(whole(fmt.Sprint(n))))
+		})
+		cancelled, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := get(cancelled, pool, address)
+		Expect(kindOf(err)).To(Equal(exchange.Unanswered))
+		close(late)
+		Expect(get(ctx, pool, address)).To(Equal("2"))
+		Expect(connections.Load()).To(Equal(int64(2)))
+	})
+
+	It("does not use a connection on which an answer came that nobody asked for", func() {
+		address, connections := peer(func(n int64, c net.Conn) {
+			_, _ = c.Write([]byte(whole(fmt.Sprint(n))))
+			if n == 1 {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = c.Write([]byte(whole("crossed")))
+			}
+		})
+		Expect(get(ctx, pool, address)).To(Equal("1"))
+		time.Sleep(100 * time.Millisecond)
+		Expect(get(ctx, pool, address)).To(Equal("2"))
+		Expect(connections.Load()).To(Equal(int64(2)))
+	})
+
+	DescribeTable("tells a cut answer from a whole one",
+		func(answer string) {
+			address, _ := peer(func(_ int64, c net.Conn) {
+				_, _ = c.Write([]byte(answer))
+				_ = c.Close()
+			})
+			_, err := get(ctx, pool, address)
+			Expect(kindOf(err)).To(Equal(exchange.Broken))
+		},
+		Entry("shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+		Entry("without the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+		Entry("without the end of the trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n"),
+		Entry("without any length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"),
+	)
+
+	It("knows that nothing was sent when no connection opens", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		_, err = get(ctx, pool, address)
+		Expect(kindOf(err)).To(Equal(exchange.Unsent))
+	})
+
+	It("does not know what became of a request whose connection closes", func() {
+		address, _ := peer(func(_ int64, c net.Conn) { _ = c.Close() })
+		_, err := get(ctx, pool, address)
+		Expect(kindOf(err)).To(Equal(exchange.Unanswered))
+	})
+})
