internal/straggler: hand out the track of a target

Cause: each placement looked two flags up by name for each target. Change: replicas hold their track.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -93,6 +93,7 @@
 		r.Target = target
 		kept[target.Name] = r
 		svc := s.service(target.Service)
+		r.track = svc.detector.Find(target.Name)
 		svc.replicas = append(svc.replicas, r)
 	}
 	for name, r := range s.replicas {
@@ -281,13 +282,13 @@
 
 // fits reports whether the call may start on the target now.
 func (s *Scheduler) fits(now time.Time, svc *service, r *replica, ask *Ask) bool {
-	if !r.usable(now) || r.alone || svc.detector.Ejected(now, r.Name) || slices.Contains(ask.Avoid, r.Name) {
+	if !r.usable(now) || r.alone || r.track.Ejected(now) || slices.Contains(ask.Avoid, r.Name) {
 		return false
 	}
 	if ask.Alone {
 		return r.busy(now, s.sharing(svc)) == 0
 	}
-	if svc.detector.Probated(r.Name) && now.Sub(r.lastPlaced) < probePause {
+	if r.track.Probated() && now.Sub(r.lastPlaced) < probePause {
 		return false
 	}
 	slots := r.slots(now, s.sharing(svc), s.options.Hosts)
@@ -300,6 +301,9 @@
 // score is the share of slots in use, less what a warm cache is worth.
 func (s *Scheduler) score(now time.Time, svc *service, r *replica, ask *Ask) float64 {
 	busy := float64(r.busy(now, s.sharing(svc))) / float64(r.Slots)
+	if ask.Prefix[0] == 0 {
+		return busy
+	}
 	return busy - affinityBonus*float64(svc.affinity.Match(ask.Prefix, r.Name))
 }
 
@@ -464,7 +468,7 @@
 		r := s.replicas[name]
 		out = append(out, TargetState{
 			Name: name, Service: r.Service, Own: r.ownTotal(), Others: r.others, Slots: r.Slots, Usable: r.usable(now),
-			Leaving: r.Leaving || r.leavingSeen, Ejected: s.service(r.Service).detector.Ejected(now, name),
+			Leaving: r.Leaving || r.leavingSeen, Ejected: r.track.Ejected(now),
 		})
 	}
 	return out
