--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -94,13 +94,15 @@
 
 func (p *Port) add(c interface{ Close() error }) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.killed {
+	killed := p.killed
+	if !killed {
+		p.open[c] = struct{}{}
+	}
+	p.mu.Unlock()
+	if killed {
 		_ = c.Close()
-		return false
 	}
-	p.open[c] = struct{}{}
-	return true
+	return !killed
 }
 
 func (p *Port) remove(c interface{ Close() error }) {
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -83,7 +83,7 @@
 
 type packet struct {
 	message message
-	bytes   int
+	from    string // peer address of the sender
 }
 
 type post struct {
@@ -166,7 +166,7 @@
 	defer stop()
 	buffer := make([]byte, readBufferBytes)
 	for {
-		n, _, err := s.conn.ReadFrom(buffer)
+		n, from, err := s.conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -180,7 +180,7 @@
 			s.counts.BadMessages.Add(1)
 			continue
 		}
-		if !s.packets.Offer(packet{message: m, bytes: n}) {
+		if !s.packets.Offer(packet{message: m, from: from.String()}) {
 			s.counts.DroppedMessages.Add(1)
 		}
 	}
@@ -265,7 +265,7 @@
 		case <-ctx.Done():
 			return nil
 		case p := <-s.packets.Items():
-			s.receive(p.message)
+			s.receive(p)
 		case p := <-s.posts.Items():
 			if s.board.Merge(s.clock.Now(), p.item) && p.urgent {
 				s.spread([]bulletin.Item{p.item}, true)
@@ -319,11 +319,7 @@
 	for _, info := range s.table.Successors() {
 		s.send(info.PeerAddress, kindHeartbeat, near)
 	}
-	if len(s.table.Successors()) == 0 {
-		for _, seed := range s.seeds {
-			s.send(seed, kindHeartbeat, []bulletin.Item{s.table.Self().Item()})
-		}
-	}
+	s.greetSeeds()
 	if !s.table.IsDelegate() || now.Sub(s.lastCentre) < centreInterval {
 		return
 	}
@@ -336,16 +332,35 @@
 	s.nextCentre += centresPerBeat
 }
 
-func (s *Service) receive(m message) {
-	now := s.clock.Now()
+// greetSeeds sends a heartbeat to the seeds that are no known host, so that
+// groups that have started apart find each other.
+func (s *Service) greetSeeds() {
+	known := map[string]bool{}
+	for _, info := range s.table.All() {
+		known[info.PeerAddress] = true
+	}
+	for _, seed := range s.seeds {
+		if !known[seed] {
+			s.send(seed, kindHeartbeat, []bulletin.Item{s.table.Self().Item()})
+		}
+	}
+}
+
+func (s *Service) receive(p packet) {
+	m, now := p.message, s.clock.Now()
 	s.table.Heard(now, m.From, m.Incarnation)
 	s.table.HeardCentre(now, m.DataCentre)
-	s.compare(now, m)
 	s.take(m.Items, m.From, m.DataCentre, m.Kind == kindNews)
+	s.compare(now, m, p.from)
 }
 
-// compare asks for a read of a host whose digest has differed for a while.
-func (s *Service) compare(now time.Time, m message) {
+// compare asks for a read of a host that is not known, or whose digest has
+// differed for a while.
+func (s *Service) compare(now time.Time, m message, from string) {
+	if info, known := s.table.Find(m.From); !known || info.Incarnation < m.Incarnation {
+		s.differs.Offer(from)
+		return
+	}
 	if m.Digest == 0 || m.Digest == s.table.Digest() {
 		delete(s.differing, m.From)
 		return
@@ -355,7 +370,7 @@
 		s.differing[m.From] = now
 		return
 	}
-	if info, known := s.table.Find(m.From); known && now.Sub(since) > differAfter && s.differs.Offer(info.PeerAddress) {
+	if now.Sub(since) > differAfter && s.differs.Offer(from) {
 		delete(s.differing, m.From)
 	}
 }
