internal/placement: keep a reserve of slots from a workspace that floods

Cause: a flooding workspace filled every slot, so that each call of the others waited for one to become free.

--- a/cmd/sequoiarack-bench/cmd/policy.go
+++ b/cmd/sequoiarack-bench/cmd/policy.go
@@ -22,6 +22,7 @@
 	folder := set.String("folder", "scenarios", "folder of the scenario files")
 	names := set.String("policies", strings.Join(policy.Names(), ","), "policies to run, joined by commas")
 	seed := set.Uint64("seed", 1, "seed of the arrivals")
+	seeds := set.Int("seeds", 0, "compare the gateway with the oracle over the seeds 1 to N instead: median and worst")
 	plots := set.String("plot", "", "folder to write SVG plots to")
 	return &ffcli.Command{
 		Name: "policy", ShortUsage: "sequoiarack-bench policy --scenario FILE|all [--seed N] [--json] [--plot DIR]",
@@ -40,6 +41,12 @@
 				if ctx.Err() != nil {
 					return ctx.Err()
 				}
+				if *seeds > 0 {
+					if err := summarise(e.out, file, *seeds, *asJSON); err != nil {
+						return errors.Wrap(err, file)
+					}
+					continue
+				}
 				if err := runScenario(e.out, file, *seed, strings.Split(*names, ","), *asJSON, *plots); err != nil {
 					return errors.Wrap(err, file)
 				}
@@ -75,6 +82,28 @@
 	return printRows(w, m.Rows)
 }
 
+// summarise prints one line for a scenario.
+func summarise(w io.Writer, file string, seeds int, asJSON bool) error {
+	s, err := policy.Load(file)
+	if err != nil {
+		return err
+	}
+	sum, err := policy.Summarise(s, seeds)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(w).Encode(sum)
+	}
+	pair := func(v policy.MedianWorst, unit float64) string { return fmt.Sprintf("%.2f / %.2f", unit*v.Median, unit*v.Worst) }
+	const percent = 100
+	_, err = fmt.Fprintf(w, "| %s | %s | %.0f / %.0f | %.0f / %.0f | %s | %s | %s | %s | %s | %s |\n", sum.Scenario, pair(sum.TailRatio, 1),
+		sum.FirstTokenP99Ms.Median, sum.FirstTokenP99Ms.Worst, sum.BestBaselineMs.Median, sum.BestBaselineMs.Worst,
+		pair(sum.ShareAway, percent), pair(sum.OracleShareAway, percent), pair(sum.WastedTokenShare, percent), pair(sum.CostRatio, 1),
+		pair(sum.NotRunShare, percent), pair(sum.OracleNotRun, percent))
+	return err
+}
+
 func printRows(w io.Writer, rows []policy.Row) error {
 	const padding = 2
 	t := tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -53,13 +53,16 @@
 	freedAt  time.Time
 	hold     float64 // mean seconds on a slot
 	busy     int     // slots that this host's calls hold
+	slots    int     // of all targets
+	shares   holdings
 }
 
 type placedCall struct {
-	replica *replica
-	class   core.Class
-	at      time.Time
-	alone   bool
+	replica   *replica
+	class     core.Class
+	at        time.Time
+	workspace string
+	alone     bool
 }
 
 // NewScheduler returns a Scheduler without targets.
@@ -82,7 +85,7 @@
 // SetTargets replaces the set of targets. Calls on targets that are gone run on.
 func (s *Scheduler) SetTargets(targets []Target) {
 	for _, svc := range s.services {
-		svc.replicas = svc.replicas[:0]
+		svc.replicas, svc.slots = svc.replicas[:0], 0
 	}
 	kept := make(map[string]*replica, len(targets))
 	for _, target := range targets {
@@ -95,6 +98,7 @@
 		svc := s.service(target.Service)
 		r.track = svc.detector.Find(target.Name)
 		svc.replicas = append(svc.replicas, r)
+		svc.slots += target.Slots
 	}
 	for name, r := range s.replicas {
 		if kept[name] == nil {
@@ -111,6 +115,7 @@
 			queue:    queue.New[Ask](longWait),
 			detector: straggler.NewDetector(s.options.MaxEjectedShare),
 			affinity: affinity.NewIndex(affinityEntries),
+			shares:   newHoldings(),
 		}
 		s.services[name] = svc
 	}
@@ -139,7 +144,8 @@
 	if svc == nil || !svc.anyUsable(now, ask.Avoid) {
 		return refuse(ask.ID, core.ReasonNoTarget, "no target of the service is in use here", minRetryAfter)
 	}
-	if !s.overtaken(now, svc, ask.Class) {
+	svc.shares.asked(now, ask.Workspace)
+	if !s.overtaken(now, svc, ask.Class) && svc.mayTake(ask.Workspace) {
 		if r := s.choose(now, svc, &ask); r != nil {
 			return s.grant(now, svc, ask, r)
 		}
@@ -157,6 +163,10 @@
 	return Decision{ID: ask.ID, Verdict: Queued}
 }
 
+func (svc *service) mayTake(workspace string) bool {
+	return svc.shares.mayTake(workspace, svc.busy, svc.slots)
+}
+
 // overtaken reports whether calls that wait already go before a new one.
 func (s *Scheduler) overtaken(now time.Time, svc *service, class core.Class) bool {
 	if svc.queue.Len(class) > 0 {
@@ -312,7 +322,8 @@
 	r.alone = r.alone || ask.Alone
 	r.lastPlaced = now
 	svc.busy++
-	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, at: now, alone: ask.Alone}
+	svc.shares.take(ask.Workspace)
+	s.placed[ask.ID] = placedCall{replica: r, class: ask.Class, workspace: ask.Workspace, at: now, alone: ask.Alone}
 	svc.affinity.Stored(ask.Prefix, r.Name)
 	return Decision{ID: ask.ID, Verdict: Granted, Target: r.Target, Alone: ask.Alone}
 }
@@ -331,6 +342,7 @@
 	svc := s.service(call.replica.Service)
 	svc.free(now)
 	svc.busy--
+	svc.shares.release(call.workspace)
 	held := now.Sub(call.at).Seconds()
 	if svc.hold == 0 {
 		svc.hold = held
@@ -375,7 +387,10 @@
 		if s.choose(now, svc, &probe) == nil {
 			return out
 		}
-		item, _ := svc.queue.Pop(class)
+		item, ok := svc.queue.Pop(class, svc.mayTake)
+		if !ok {
+			return out
+		}
 		s.queued--
 		r := s.choose(now, svc, &item.Value)
 		if r == nil {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -85,11 +85,14 @@
 	return oldest, found
 }
 
-// Pop removes the next call of a class.
-func (q *Queue[T]) Pop(class core.Class) (Item[T], bool) {
+// Pop removes the next call of a class, of the workspaces that allow selects.
+func (q *Queue[T]) Pop(class core.Class, allow func(workspace string) bool) (Item[T], bool) {
 	best := ""
 	found := false
 	for workspace, list := range q.classes[class] {
+		if !allow(workspace) {
+			continue
+		}
 		if !found || less(list[0], q.classes[class][best][0], workspace, best) {
 			best, found = workspace, true
 		}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -10,6 +10,8 @@
 	"github.com/sequoiarack/sequoiarack/internal/queue"
 )
 
+func everyone(string) bool { return true }
+
 var _ = Describe("a queue", func() {
 	now := time.Unix(1_700_000_000, 0)
 	item := func(workspace string, n int, cost float64) queue.Item[int] {
@@ -21,11 +23,11 @@
 		for n := range 100 {
 			q.Push(item("flood", n, 10))
 		}
-		first, _ := q.Pop(core.Short)
+		first, _ := q.Pop(core.Short, everyone)
 		Expect(first.Workspace).To(Equal("flood"))
 		q.Push(item("quiet", 1000, 10))
 		for range 2 {
-			next, _ := q.Pop(core.Short)
+			next, _ := q.Pop(core.Short, everyone)
 			if next.Workspace == "quiet" {
 				return
 			}
@@ -41,7 +43,7 @@
 		}
 		served := map[string]int{}
 		for range 40 {
-			next, _ := q.Pop(core.Short)
+			next, _ := q.Pop(core.Short, everyone)
 			served[next.Workspace]++
 		}
 		Expect(served["light"]).To(BeNumerically("~", 30, 1))
