internal/gossip: pass news on once for each link, and derive views once a change

Cause: a delegate passed on news of other data centres to all others again, and who speaks for which data centre was computed from all hosts for each message. At 380 hosts in one process that used all six cores, hosts missed heartbeats and suspected each other, and the view never converged. Change: news from abroad goes to the mates only; ring, delegates and digest are kept until a host changes; views are published at most every 50 ms; a read of all facts is rarer in a larger fleet. Not mended: 380 hosts that start at the same moment on one machine still do not converge.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 
@@ -143,7 +145,7 @@
 
 func (c *checker) targets() {
 	addresses := map[string]string{}
-	for _, name := range sortedNames(c.document.Targets) {
+	for _, name := range slices.Sorted(maps.Keys(c.document.Targets)) {
 		target := c.document.Targets[name]
 		path := "/Targets/" + name
 		c.name(path, name)
@@ -183,7 +185,7 @@
 
 func (c *checker) keys() {
 	owners := map[string]string{}
-	for _, name := range sortedNames(c.document.Keys) {
+	for _, name := range slices.Sorted(maps.Keys(c.document.Keys)) {
 		key := c.document.Keys[name]
 		path := "/Keys/" + name
 		c.name(path, name)
@@ -246,12 +248,3 @@
 	}
 	return false
 }
-
-func sortedNames[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 )
 
 // Index is a compiled version of the configuration. It is immutable; the
@@ -37,7 +39,7 @@
 		keys:    map[string]Principal{},
 		centres: map[string]string{},
 	}
-	for _, name := range sortedNames(document.Targets) {
+	for _, name := range slices.Sorted(maps.Keys(document.Targets)) {
 		target := document.Targets[name]
 		x.targets[target.Service] = append(x.targets[target.Service], NamedTarget{Name: name, Target: target})
 	}
--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -74,7 +76,7 @@
 		return
 	}
 	body := modelsBody{Object: "list", Data: []modelRow{}}
-	for _, name := range sortedNames(x.Document.Services) {
+	for _, name := range slices.Sorted(maps.Keys(x.Document.Services)) {
 		service := x.Document.Services[name]
 		if service.Kind != config.KindModel {
 			continue
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"runtime"
 	"slices"
 	"time"
@@ -105,7 +106,7 @@
 func (d *Daemon) Dump(ctx context.Context) Dump {
 	state := d.feed.State()
 	view := d.gossip.View()
-	snapshot, err := d.dispatcher.Snapshot(ctx, sortedNames(state.Index.Document.Services)...)
+	snapshot, err := d.dispatcher.Snapshot(ctx, slices.Sorted(maps.Keys(state.Index.Document.Services))...)
 	if err != nil {
 		d.log.Error(err, "The placement state could not be read.")
 	}
@@ -118,7 +119,7 @@
 		Version: state.Version, StoreUp: d.feed.StoreUp.Load(), StoreBehind: d.feed.StoreBehind.Load(),
 		Delegate: view.Delegate, InFlight: d.inFlight.Load(), Waiting: snapshot.Waiting,
 		Quarantined: snapshot.Quarantined, RunningKeys: d.book.Running(),
-		Members: view.Members, CutCentres: sortedNames(view.CutCentres),
+		Members: view.Members, CutCentres: slices.Sorted(maps.Keys(view.CutCentres)),
 		Targets: snapshot.Targets, Services: snapshot.Services, Facts: d.factRows(ctx),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 		SentBytes: sent, ReceivedBytes: received,
@@ -139,15 +140,6 @@
 	return rows
 }
 
-func sortedNames[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Version returns the version of the configuration in force, zero for none.
 func (d *Daemon) Version() uint64 { return d.feed.State().Version }
 
--- a/internal/daemon/placing.go
+++ b/internal/daemon/placing.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -20,7 +21,7 @@
 
 const (
 	placingInterval = 250 * time.Millisecond
-	loadInterval    = time.Second
+	loadInterval    = 2 * time.Second
 )
 
 // placingHost returns the host that places the calls of a service for the
@@ -66,7 +67,7 @@
 }
 
 func (d *Daemon) postLoads(ctx context.Context, owned map[string]bool) {
-	for _, name := range sortedNames(owned) {
+	for _, name := range slices.Sorted(maps.Keys(owned)) {
 		if !owned[name] {
 			continue
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,6 +113,11 @@
 				return err
 			}
 		}
+		if len(f.Hosts) > maxAtOnce {
+			if err := f.WaitMembers(f.ctx, len(f.Hosts), f.Hosts); err != nil {
+				return err
+			}
+		}
 	}
 	if err := f.commitDocument(); err != nil {
 		return err
@@ -120,6 +125,10 @@
 	return f.WaitVersion(f.ctx, 1, f.Hosts)
 }
 
+// maxAtOnce is how many hosts start without waiting for each other. More of
+// them on one machine would be short of processor time and suspect one another.
+const maxAtOnce = 100
+
 const subnetTries = 64
 
 // takeSubnet finds a second number of the loopback addresses that no other
@@ -292,8 +301,18 @@
 		return errors.Wrap(err, "fleet")
 	}
 	client := operator.NewClient(f.Hosts[0].Settings.CallerAddress, OperatorKey)
-	_, err = client.Patch(f.ctx, ledger.Patch{ID: "first-document", Kind: config.MergePatch, Body: body, Author: "fleet"}, false)
-	return err
+	patch := ledger.Patch{ID: "first-document", Kind: config.MergePatch, Body: body, Author: "fleet"}
+	var failed error
+	err = f.Wait(f.ctx, func() bool {
+		// Many hosts that start at once keep the store busy. The patch keeps its
+		// ID, so that it is accepted once.
+		_, failed = client.Patch(f.ctx, patch, false)
+		return failed == nil
+	})
+	if err != nil {
+		return failed
+	}
+	return nil
 }
 
 // WaitVersion waits until the hosts have at least the version.
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	piggybackBytes   = 400
+	piggybackBytes   = 320
 	piggybackTimes   = 4 // sends of one fact in heartbeats
 	maxItems         = 8192
 	ringSize         = 1024
@@ -28,6 +28,9 @@
 	joinInterval     = time.Second // between reads of a host that has just started
 	joinReads        = 3
 	differAfter      = time.Second // of other digests, before a read
+	minReadPause     = time.Second
+	viewInterval     = 50 * time.Millisecond // between two views, but for those of each tick
+	readPausePerHost = 20 * time.Millisecond
 	syncWhileAlone   = 500 * time.Millisecond
 	readBufferBytes  = 64 << 10
 	farewellInterval = 100 * time.Millisecond
@@ -78,6 +81,8 @@
 	beat       uint64
 	nextCentre int
 	lastCentre time.Time
+	lastRead   time.Time
+	published  time.Time
 	differing  map[string]time.Time // since when a host's digest is another one
 }
 
@@ -268,7 +273,7 @@
 			s.receive(p)
 		case p := <-s.posts.Items():
 			if s.board.Merge(s.clock.Now(), p.item) && p.urgent {
-				s.spread([]bulletin.Item{p.item}, true)
+				s.spread([]bulletin.Item{p.item})
 			}
 		case items := <-s.synced.Items():
 			s.take(items, "", "", false)
@@ -277,7 +282,7 @@
 		case <-s.leaving.Items():
 			item := s.table.Leave(s.clock.Now())
 			s.board.Merge(s.clock.Now(), item)
-			s.spread([]bulletin.Item{item}, true)
+			s.spread([]bulletin.Item{item})
 			s.publishView()
 		case <-tick:
 			s.tick()
@@ -294,7 +299,7 @@
 		s.board.Merge(now, item)
 		s.log.Info("A host changed its status.", "Host", item.Key, "By", "monitor")
 	}
-	s.spread(news, true)
+	s.spread(news)
 	s.forget()
 	s.heartbeat(now)
 	s.publishView()
@@ -358,7 +363,7 @@
 // differed for a while.
 func (s *Service) compare(now time.Time, m message, from string) {
 	if info, known := s.table.Find(m.From); !known || info.Incarnation < m.Incarnation {
-		s.differs.Offer(from)
+		s.askRead(now, from)
 		return
 	}
 	if m.Digest == 0 || m.Digest == s.table.Digest() {
@@ -370,11 +375,22 @@
 		s.differing[m.From] = now
 		return
 	}
-	if now.Sub(since) > differAfter && s.differs.Offer(from) {
+	if now.Sub(since) > differAfter && s.askRead(now, from) {
 		delete(s.differing, m.From)
 	}
 }
 
+// askRead asks for a read of a host, unless there was one lately. The larger the
+// fleet, the more a read costs and the rarer it is.
+func (s *Service) askRead(now time.Time, from string) bool {
+	pause := max(minReadPause, time.Duration(len(s.View().Members))*readPausePerHost)
+	if now.Sub(s.lastRead) < pause || !s.differs.Offer(from) {
+		return false
+	}
+	s.lastRead = now
+	return true
+}
+
 // take merges facts from a sender and its data centre, both empty for a whole
 // read. What is urgent news, or what a host says of itself, is passed on at once;
 // the rest goes with the heartbeats.
@@ -397,17 +413,17 @@
 			news = append(news, item)
 		}
 	}
-	s.spread(answers, true)
+	s.spread(answers)
 	if urgent {
-		s.spread(news, from != s.table.Self().DataCentre || joining(news, sender))
+		s.passOn(news, sender, from)
 	}
-	if len(news)+len(answers) > 0 {
+	if len(news)+len(answers) > 0 && now.Sub(s.published) >= viewInterval {
 		s.publishView()
 	}
 }
 
-// joining reports whether a host brings the news of itself, which its mates may
-// not have had from it.
+// joining reports whether a host brings the news of itself, which others may not
+// have had from it.
 func joining(news []bulletin.Item, sender string) bool {
 	return len(news) == 1 && news[0].Key == member.KeyPrefix+sender
 }
@@ -429,16 +445,36 @@
 	return fresh, nil
 }
 
-// spread sends news at once: to the own data centre when mates is set, and to
-// other data centres when the host is a delegate.
-func (s *Service) spread(items []bulletin.Item, mates bool) {
+// spread sends the host's own news at once to its data centre and, when it is a
+// delegate, to the others.
+func (s *Service) spread(items []bulletin.Item) {
 	if len(items) == 0 {
 		return
 	}
-	if mates {
-		s.sendAll(s.table.Mates(), items)
+	s.sendAll(s.table.Mates(), items)
+	s.sendAbroad(items)
+}
+
+// passOn sends news of another host on: what came from another data centre to the
+// mates, what came from the own one to the other data centres. So each news goes
+// over each link once for each pair of delegates.
+func (s *Service) passOn(news []bulletin.Item, sender, from string) {
+	if len(news) == 0 {
+		return
+	}
+	near := from == s.table.Self().DataCentre
+	if !near || joining(news, sender) {
+		s.sendAll(s.table.Mates(), news)
+	}
+	if near || joining(news, sender) {
+		s.sendAbroad(news)
 	}
-	if !s.table.IsDelegate() {
+}
+
+// sendAbroad sends facts for the whole fleet to the delegates of the other data
+// centres, if the host is a delegate itself.
+func (s *Service) sendAbroad(items []bulletin.Item) {
+	if len(items) == 0 || !s.table.IsDelegate() {
 		return
 	}
 	wide := items[:0:0]
@@ -485,6 +521,7 @@
 
 func (s *Service) publishView() {
 	now := s.clock.Now()
+	s.published = now
 	view := &View{
 		Self: s.table.Self(), Members: s.table.All(),
 		Delegate: s.table.IsDelegate(), FirstDelegate: s.table.FirstDelegate(), CutCentres: map[string]bool{},
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -40,6 +41,14 @@
 	self    Info
 	hosts   map[string]*record
 	centres map[string]time.Time // last word of each other data centre
+	derived *derived             // nil after a change
+}
+
+// derived is what follows from the set of hosts.
+type derived struct {
+	ring      []string
+	delegates map[string][]Info // by data centre
+	digest    uint64
 }
 
 // NewTable returns a Table that knows the host itself.
@@ -61,6 +70,7 @@
 func (t *Table) setSelf(now time.Time, info Info) {
 	t.self = info
 	t.hosts[info.Host] = &record{info: info, heard: now, changed: now}
+	t.derived = nil
 }
 
 // Apply takes what is said of a host. The second result is an answer to spread
@@ -81,6 +91,7 @@
 		known.heard = now
 	}
 	known.info, known.changed = info, now
+	t.derived = nil
 	return true, nil
 }
 
@@ -120,6 +131,7 @@
 			out = append(out, t.change(now, r, Gone))
 		case r.info.Status == Gone && now.Sub(r.changed) > forgetAfter:
 			delete(t.hosts, name)
+			t.derived = nil
 		case !watched[name]:
 			r.monitored = false
 		case !r.monitored:
@@ -142,24 +154,54 @@
 
 func (t *Table) change(now time.Time, r *record, status Status) bulletin.Item {
 	r.info, r.changed = r.info.WithStatus(status), now
+	t.derived = nil
 	return r.info.Item()
 }
 
-// ring returns the hosts of the own data centre in ring order, without those
-// that are gone.
-func (t *Table) ring() []string {
-	names := []string{}
+// derive returns what follows from the set of hosts, computed once a change.
+func (t *Table) derive() *derived {
+	if t.derived != nil {
+		return t.derived
+	}
+	d := &derived{delegates: map[string][]Info{}, digest: 1}
 	for name, r := range t.hosts {
-		if r.info.DataCentre == t.self.DataCentre && r.info.Status != Gone {
-			names = append(names, name)
+		if r.info.Status == Gone {
+			continue
+		}
+		d.digest ^= xxhash.Sum64String(name + strconv.FormatInt(r.info.Stamp(), 10))
+		if r.info.DataCentre == t.self.DataCentre {
+			d.ring = append(d.ring, name)
+		}
+		if r.info.InUse() {
+			d.addDelegate(r.info)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
+	slices.SortFunc(d.ring, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
-	return names
+	t.derived = d
+	return d
 }
 
+// addDelegate keeps the hosts of a data centre that rank first in its order of
+// hashes.
+func (d *derived) addDelegate(info Info) {
+	list := d.delegates[info.DataCentre]
+	rank := xxhash.Sum64String(info.DataCentre + info.Host)
+	at := 0
+	for at < len(list) && xxhash.Sum64String(list[at].DataCentre+list[at].Host) < rank {
+		at++
+	}
+	if at < delegatesPerDataCentre {
+		list = slices.Insert(list, at, info)
+		d.delegates[info.DataCentre] = list[:min(len(list), delegatesPerDataCentre)]
+	}
+}
+
+// ring returns the hosts of the own data centre in ring order, without those
+// that are gone.
+func (t *Table) ring() []string { return t.derive().ring }
+
 // Successors returns the hosts that the host sends its heartbeats to.
 func (t *Table) Successors() []Info { return t.neighbours(1) }
 
@@ -208,37 +250,17 @@
 	return len(list) > 0 && list[0].Host == t.self.Host
 }
 
-// delegates returns the hosts in use of a data centre that rank first in its
-// order of hashes.
-func (t *Table) delegates(centre string) []Info {
-	var list []Info
-	for _, r := range t.hosts {
-		if r.info.DataCentre == centre && r.info.InUse() {
-			list = append(list, r.info)
-		}
-	}
-	slices.SortFunc(list, func(a, b Info) int {
-		return cmp.Compare(xxhash.Sum64String(centre+a.Host), xxhash.Sum64String(centre+b.Host))
-	})
-	return list[:min(len(list), delegatesPerDataCentre)]
-}
+// delegates returns the hosts that speak for a data centre.
+func (t *Table) delegates(centre string) []Info { return t.derive().delegates[centre] }
 
 // OtherDelegates returns the delegates of the other data centres.
 func (t *Table) OtherDelegates() []Info {
-	centres := map[string]bool{}
-	for _, r := range t.hosts {
-		if r.info.DataCentre != t.self.DataCentre {
-			centres[r.info.DataCentre] = true
-		}
-	}
-	names := make([]string, 0, len(centres))
-	for name := range centres {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+	delegates := t.derive().delegates
 	var out []Info
-	for _, name := range names {
-		out = append(out, t.delegates(name)...)
+	for _, name := range slices.Sorted(maps.Keys(delegates)) {
+		if name != t.self.DataCentre {
+			out = append(out, delegates[name]...)
+		}
 	}
 	return out
 }
@@ -253,15 +275,7 @@
 
 // Digest stands for all that is known of hosts that are not gone. It is the
 // same at hosts that know the same.
-func (t *Table) Digest() uint64 {
-	sum := uint64(1)
-	for name, r := range t.hosts {
-		if r.info.Status != Gone {
-			sum ^= xxhash.Sum64String(name + strconv.FormatInt(r.info.Stamp(), 10))
-		}
-	}
-	return sum
-}
+func (t *Table) Digest() uint64 { return t.derive().digest }
 
 // All returns every known host in order of name.
 func (t *Table) All() []Info {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -368,7 +369,7 @@
 		return nil
 	}
 	var out []Decision
-	for _, name := range sortedNames(s.services) {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		svc := s.services[name]
 		for _, item := range svc.queue.Expired(now) {
 			out = append(out, refuse(item.Value.ID, core.ReasonBudget, "the wait exceeded the budget", retryAfter(svc.wait(now, item.Value))))
@@ -479,7 +480,7 @@
 // Dump returns a row for each target in order of name.
 func (s *Scheduler) Dump(now time.Time) []TargetState {
 	out := make([]TargetState, 0, len(s.replicas))
-	for _, name := range sortedNames(s.replicas) {
+	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		r := s.replicas[name]
 		out = append(out, TargetState{
 			Name: name, Service: r.Service, Own: r.ownTotal(), Others: r.others, Slots: r.Slots, Usable: r.usable(now),
@@ -488,12 +489,3 @@
 	}
 	return out
 }
-
-func sortedNames[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
