internal/region: try a region that nothing is known of when home has no target

Cause: two processes that have just started have not told each other their load yet; a call whose service has targets only in the other region was refused, NoTarget. Change: with no target in use at home, a region that nothing was heard of is tried after those known to have targets.

--- a/cmd/sequoiarack/script_test.go
+++ b/cmd/sequoiarack/script_test.go
@@ -44,8 +44,11 @@
 			n := networks.Add(1)
 			e.Setenv("NET", fmt.Sprintf("127.%d.%d", base+n/perNumber, 1+n%perNumber))
 			e.Setenv("KEY", client.NewKey())
+			const headerBytes = 20_000
+			e.Setenv("BIG", strings.Repeat("x", headerBytes))
 			e.Setenv("OPERATOR_DIGEST", config.Digest("operator-key"))
 			e.Setenv("CALLER_DIGEST", config.Digest("caller-key"))
+			e.Setenv("HOME_DIGEST", config.Digest("home-key"))
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -82,7 +82,7 @@
 		return Decision{Verdict: Refuse, Reason: core.ReasonResidency}
 	}
 	if !here || in.Local.Usable == 0 {
-		return c.elsewhere(in, here)
+		return elsewhere(in, here)
 	}
 	if !c.crowded(in) {
 		return Decision{Verdict: Serve}
@@ -90,17 +90,17 @@
 	return spill(in)
 }
 
-// elsewhere sends a call away that cannot be served here at all.
-func (c *Chooser) elsewhere(in Input, here bool) Decision {
-	if best, ok := nearest(in, true); ok {
-		return Decision{Verdict: Forward, Region: best.Region}
+// elsewhere sends a call away that cannot be served here: to a region that is
+// known to have targets in use, else to one that nothing is known of.
+func elsewhere(in Input, here bool) Decision {
+	for _, usable := range []bool{true, false} {
+		if best, ok := nearest(in, usable); ok {
+			return Decision{Verdict: Forward, Region: best.Region}
+		}
 	}
 	if here {
 		return Decision{Verdict: Serve}
 	}
-	if best, ok := nearest(in, false); ok {
-		return Decision{Verdict: Forward, Region: best.Region}
-	}
 	return Decision{Verdict: Refuse, Reason: core.ReasonNoTarget}
 }
 
@@ -152,14 +152,15 @@
 }
 
 // nearest returns the allowed region, not passed before, with the shortest trip
-// and wait. With usable set it must be known to have targets in use.
+// and wait: with usable set of those that are known to have targets in use, else
+// of those that nothing is known of.
 func nearest(in Input, usable bool) (Remote, bool) {
 	candidates := make([]Remote, 0, len(in.Remotes))
 	for _, r := range in.Remotes {
 		if !residency.Permits(in.Allowed, r.Region) || in.Passed.HasRegion(r.Region) || r.Region == in.Region {
 			continue
 		}
-		if usable && (!r.Known || r.Summary.Usable == 0) {
+		if usable && (!r.Known || r.Summary.Usable == 0) || !usable && r.Known {
 			continue
 		}
 		candidates = append(candidates, r)
