internal/placer: do not take targets from a host that is not known yet

Cause: found on reading: the placing host freed the targets of every host that membership did not list as alive, so also of one that has just started. Change: only those of hosts known to be out of use. Also, work is cancelled at model engines only; a plain service got a DELETE that it does not know.

--- a/internal/daemon/flight.go
+++ b/internal/daemon/flight.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/attempt"
+	"github.com/sequoiarack/sequoiarack/internal/config"
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/dispatch"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
@@ -206,9 +207,9 @@
 	return result{answer: &answer, target: placed.Target.Name, region: f.d.settings.Region}, nil
 }
 
-// cancelWork tells a target to stop what nobody waits for any more.
+// cancelWork tells a model engine to stop what nobody waits for any more.
 func (f *flight) cancelWork(address string) {
-	if !f.call.repeatable {
+	if f.call.service.Kind != config.KindModel {
 		return
 	}
 	id := f.call.id
--- a/internal/daemon/placing.go
+++ b/internal/daemon/placing.go
@@ -51,7 +51,7 @@
 			_, owned[name] = d.placingHost(name)
 		}
 		d.dispatcher.SetOwned(ctx, owned)
-		d.placing.Sweep(ctx, d.hostInUse)
+		d.placing.Sweep(ctx, d.hostGone)
 		if now := d.clock.Now(); now.Sub(told) >= loadInterval {
 			told = now
 			d.postLoads(ctx, owned)
@@ -59,10 +59,12 @@
 	})
 }
 
-// hostInUse reports whether a host may still hold targets: a leaving one does.
-func (d *Daemon) hostInUse(name string) bool {
+// hostGone reports whether a host is known to be out of use, so that the targets
+// it holds can be given to others. A leaving one still uses them, and one that
+// nothing is known of has just started.
+func (d *Daemon) hostGone(name string) bool {
 	return slices.ContainsFunc(d.gossip.View().Members, func(m member.Info) bool {
-		return m.Host == name && m.Status == member.Alive
+		return m.Host == name && m.Status != member.Alive
 	})
 }
 
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -139,14 +139,14 @@
 	}
 }
 
-// Sweep ends the asks of hosts that are not in use any more, and those that no
-// host has asked for again.
-func (s *Server) Sweep(ctx context.Context, inUse func(host string) bool) {
+// Sweep ends the asks of hosts that are gone, and those that no host has asked
+// for again.
+func (s *Server) Sweep(ctx context.Context, gone func(host string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	for id, a := range s.asks {
-		if !inUse(a.host) || (!a.granted && now.Sub(a.asked) > forgetAfter) {
+		if gone(a.host) || (!a.granted && now.Sub(a.asked) > forgetAfter) {
 			s.endLocked(ctx, id)
 		}
 	}
