--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -108,6 +109,9 @@
 // TestSlots draws submissions, releases and the passing of time: no target ever
 // holds more than its slots, and every call is decided once.
 func TestSlots(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		targets, slots := rapid.IntRange(1, 4).Draw(t, "targets"), rapid.IntRange(1, 4).Draw(t, "slots")
 		s := newScheduler(targets, slots)
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"os"
 	"testing"
 	"time"
@@ -84,6 +85,9 @@
 // TestNeverOutsideResidency draws calls and states at random: no choice leaves
 // the residency, goes back to a region, or sends a received call on.
 func TestNeverOutsideResidency(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
 	names := []string{"celje", "ravne", "koper", "graz"}
 	summary := rapid.Custom(func(t *rapid.T) placement.Summary {
 		return placement.Summary{
