internal/gossip: tell other data centres of a leaving host, delegate or not

Cause: a leaving host is no delegate any more, so the last host of a data centre told nobody abroad that it left, and was named to callers there. Change: the leaving host tells all delegates itself. Also, the check of a configuration named either of two regions that share a data centre; it now goes by name.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -100,7 +100,8 @@
 
 func (c *checker) regions() {
 	c.require(len(c.document.Regions) > 0, "/Regions", "expected at least one region")
-	for name, region := range c.document.Regions {
+	for _, name := range slices.Sorted(maps.Keys(c.document.Regions)) {
+		region := c.document.Regions[name]
 		path := "/Regions/" + name
 		c.name(path, name)
 		c.require(len(region.DataCentres) > 0, path+"/DataCentres", "expected at least one data centre")
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -280,10 +280,7 @@
 		case reply := <-s.asks.Items():
 			reply <- s.board.All(bulletin.DataCentre)
 		case <-s.leaving.Items():
-			item := s.table.Leave(s.clock.Now())
-			s.board.Merge(s.clock.Now(), item)
-			s.spread([]bulletin.Item{item})
-			s.publishView()
+			s.leave()
 		case <-tick:
 			s.tick()
 			tick = s.clock.After(member.HeartbeatInterval)
@@ -291,6 +288,16 @@
 	}
 }
 
+// leave tells all that the host is about to stop. It does so abroad as well,
+// delegate or not: a leaving host is none, and may be the last of its data centre.
+func (s *Service) leave() {
+	item := s.table.Leave(s.clock.Now())
+	s.board.Merge(s.clock.Now(), item)
+	s.sendAll(s.table.Mates(), []bulletin.Item{item})
+	s.sendAll(s.table.OtherDelegates(), []bulletin.Item{item})
+	s.publishView()
+}
+
 func (s *Service) tick() {
 	now := s.clock.Now()
 	s.board.Sweep(now)
