--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -218,14 +218,18 @@
 		return err
 	}
 	ctx, stop := context.WithCancel(f.ctx)
-	host.Daemon, host.stop, host.ended = d, stop, make(chan error, 1)
-	go func() { host.ended <- d.Run(ctx) }()
+	ended := make(chan error, 1)
+	host.Daemon, host.stop, host.ended = d, stop, ended
+	go func() { ended <- d.Run(ctx) }()
 	f.Platform.SetHost(standin.HostState{Host: host.Name, Address: host.Settings.PeerAddress, State: "Live"})
 	return nil
 }
 
-// Restart starts a host again, as a new incarnation.
-func (f *Fleet) Restart(host *Host) error { return f.run(host) }
+// Restart starts a host that was killed again, as a new incarnation.
+func (f *Fleet) Restart(host *Host) error {
+	<-host.ended
+	return f.run(host)
+}
 
 // Kill ends a host at once.
 func (f *Fleet) Kill(host *Host) {
