--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -227,7 +227,9 @@
 
 // Restart starts a host that was killed again, as a new incarnation.
 func (f *Fleet) Restart(host *Host) error {
-	<-host.ended
+	if err := <-host.ended; err != nil {
+		return err
+	}
 	return f.run(host)
 }
 
