--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 	Daemon   *daemon.Daemon
 	port     *Port
 	stop     context.CancelFunc
-	ended    chan error
+	ended    chan struct{}
 }
 
 // Fleet is a running deployment.
@@ -218,16 +218,21 @@
 		return err
 	}
 	ctx, stop := context.WithCancel(f.ctx)
-	ended := make(chan error, 1)
+	ended := make(chan struct{})
 	host.Daemon, host.stop, host.ended = d, stop, ended
-	go func() { ended <- d.Run(ctx) }()
+	go func() {
+		defer close(ended)
+		if err := d.Run(ctx); err != nil {
+			log.V(1).Info("A host has ended.", "Host", host.Name, "Error", err.Error())
+		}
+	}()
 	f.Platform.SetHost(standin.HostState{Host: host.Name, Address: host.Settings.PeerAddress, State: "Live"})
 	return nil
 }
 
 // Restart starts a host that was killed again, as a new incarnation.
 func (f *Fleet) Restart(host *Host) error {
-	_ = <-host.ended // the error of a connection that the kill has closed
+	<-host.ended
 	return f.run(host)
 }
 
