--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -81,8 +81,16 @@
 			return member.Info{Host: "celje-a", PeerAddress: "owner"}, false
 		})
 		running, stop := context.WithCancel(ctx)
-		DeferCleanup(stop)
-		go func() { _ = client.Run(running) }()
+		ended := make(chan struct{})
+		started := client
+		go func() {
+			defer close(ended)
+			_ = started.Run(running)
+		}()
+		DeferCleanup(func() {
+			stop()
+			<-ended
+		})
 	})
 
 	It("gives a target and has it back at the end", func() {
