--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -41,11 +41,10 @@
 
 // View is what the rest of the process sees of the fleet. It is immutable.
 type View struct {
-	Self          member.Info
-	Members       []member.Info
-	Delegate      bool
-	FirstDelegate bool
-	CutCentres    map[string]bool
+	Self       member.Info
+	Members    []member.Info
+	Delegate   bool
+	CutCentres map[string]bool
 }
 
 // Counts tells how much the protocol has sent and received.
@@ -531,7 +530,7 @@
 	s.published = now
 	view := &View{
 		Self: s.table.Self(), Members: s.table.All(),
-		Delegate: s.table.IsDelegate(), FirstDelegate: s.table.FirstDelegate(), CutCentres: map[string]bool{},
+		Delegate: s.table.IsDelegate(), CutCentres: map[string]bool{},
 	}
 	for _, info := range view.Members {
 		if s.table.Cut(now, info.DataCentre) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -114,9 +114,6 @@
 	r, ok := t.hosts[host]
 	if ok && r.info.Incarnation == incarnation {
 		r.heard, r.beaten = now, true
-		if r.info.DataCentre != t.self.DataCentre {
-			t.centres[r.info.DataCentre] = now
-		}
 	}
 }
 
@@ -244,12 +241,6 @@
 	return slices.ContainsFunc(t.delegates(t.self.DataCentre), func(i Info) bool { return i.Host == t.self.Host })
 }
 
-// FirstDelegate reports whether the host is the first of its data centre's delegates.
-func (t *Table) FirstDelegate() bool {
-	list := t.delegates(t.self.DataCentre)
-	return len(list) > 0 && list[0].Host == t.self.Host
-}
-
 // delegates returns the hosts that speak for a data centre.
 func (t *Table) delegates(centre string) []Info { return t.derive().delegates[centre] }
 
@@ -287,7 +278,7 @@
 	return out
 }
 
-// HeardCentre notes a word from another data centre, also through a delegate of our own.
+// HeardCentre notes a word from another data centre.
 func (t *Table) HeardCentre(now time.Time, centre string) {
 	if centre != t.self.DataCentre {
 		t.centres[centre] = now
