internal/placer: go on telling a placing host of ends after a silence

Cause: found on reading the whole change. An end that could not be told within a second of the placing host's silence was dropped, and the slot stayed taken for as long as that host lived: it frees slots of hosts that are gone only. Change: each end is told again for 30 s, beyond the time after which a silent host is declared gone; the guess whether the host still matters is removed. The new spec failed before (the slot was still taken after 10 s) and passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,7 +123,7 @@
 	d.digests = seal.New(s.ClaimSecret)
 	d.store = etcd.NewClient(exchange.NewPool(d.control), s.StoreAddresses)
 	d.ledger = ledger.New(d.store, d.clock.Now)
-	d.dispatcher = dispatch.New(d.clock, d.placementOptions(config.DefaultLimits(), 1), rand.Uint64())
+	d.dispatcher = dispatch.New(d.clock, d.placementOptions(config.DefaultLimits()), rand.Uint64())
 	d.placed = link.NewCounter(d.network)
 	d.placements = exchange.NewPool(d.placed)
 	d.placing = placer.NewServer(d.dispatcher, d.clock)
@@ -252,28 +252,17 @@
 		}
 	}
 	limits := index.Document.Limits
-	d.dispatcher.Configure(context.Background(), targets, d.placementOptions(limits, d.hostsHere()), limits)
+	d.dispatcher.Configure(context.Background(), targets, d.placementOptions(limits), limits)
 	d.limits.reset(index)
 }
 
-func (d *Daemon) placementOptions(limits config.Limits, hosts int) placement.Options {
+func (d *Daemon) placementOptions(limits config.Limits) placement.Options {
 	return placement.Options{
-		Sharing: placement.TwoChoices, Hosts: hosts, MaxQueued: limits.MaxQueuedPerHost,
+		Sharing: placement.TwoChoices, MaxQueued: limits.MaxQueuedPerHost,
 		LongSlotShare: limits.LongSlotShare, MaxEjectedShare: limits.MaxEjectedShare,
 	}
 }
 
-// hostsHere returns the number of hosts in use in the own region.
-func (d *Daemon) hostsHere() int {
-	n := 0
-	for _, m := range d.gossip.View().Members {
-		if m.Region == d.settings.Region && m.InUse() {
-			n++
-		}
-	}
-	return max(1, n)
-}
-
 // index returns the configuration in force.
 func (d *Daemon) index() *config.Index { return d.feed.State().Index }
 
--- a/internal/placer/client.go
+++ b/internal/placer/client.go
@@ -22,6 +22,7 @@
 	settleInterval = 20 * time.Millisecond
 	settleRing     = 8192
 	settleTimeout  = time.Second
+	settleFor      = 30 * time.Second // of trying to tell a host of an end
 	sampleInterval = 250 * time.Millisecond
 	summaryMaxAge  = 3 * time.Second
 )
@@ -60,7 +61,11 @@
 	Alone atomic.Int64
 }
 
-type end struct{ address, id string }
+// end is a call that has ended, of which its placing host is to be told.
+type end struct {
+	address, id string
+	until       time.Time
+}
 
 type seenSummary struct {
 	summary placement.Summary
@@ -175,7 +180,9 @@
 	c.settle(g.address, g.id)
 }
 
-func (c *Client) settle(address, id string) { c.ends.Offer(end{address, id}) }
+func (c *Client) settle(address, id string) {
+	c.ends.Offer(end{address, id, c.clock.Now().Add(settleFor)})
+}
 
 // ObserveSpeed notes what a call saw of a target's speed, here and at the host
 // that placed the call.
@@ -201,13 +208,13 @@
 func (c *Client) Run(ctx context.Context) error {
 	sampled := c.clock.Now()
 	for {
-		bodies := map[string]*settleBody{}
+		bodies, ends := map[string]*settleBody{}, map[string][]end{}
 		select {
 		case <-ctx.Done():
 			return nil
 		case first := <-c.ends.Items():
 			<-c.clock.After(settleInterval)
-			c.collect(bodies, first)
+			c.collect(bodies, ends, first)
 		case <-c.clock.After(sampleInterval):
 		}
 		if now := c.clock.Now(); now.Sub(sampled) >= sampleInterval {
@@ -215,7 +222,7 @@
 			c.collectSamples(bodies)
 		}
 		for address, body := range bodies {
-			c.tell(ctx, address, body)
+			c.tell(ctx, address, ends[address], body)
 		}
 	}
 }
@@ -227,8 +234,9 @@
 	return bodies[address]
 }
 
-func (c *Client) collect(bodies map[string]*settleBody, first end) {
+func (c *Client) collect(bodies map[string]*settleBody, ends map[string][]end, first end) {
 	for e := first; ; {
+		ends[e.address] = append(ends[e.address], e)
 		body := bodyFor(bodies, e.address)
 		body.Ended = append(body.Ended, e.id)
 		select {
@@ -249,23 +257,19 @@
 	clear(c.samples)
 }
 
-// tell sends what a placing host should know. What does not arrive is put back
-// while that host may still be there; it sweeps up after a host that has gone.
-func (c *Client) tell(ctx context.Context, address string, body *settleBody) {
+// tell sends what a placing host should know. Ends that do not arrive are put
+// back until the host must have been declared gone, since a host that was only
+// silent would hold the slots for ever.
+func (c *Client) tell(ctx context.Context, address string, ends []end, body *settleBody) {
 	within, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	if err := c.ask(within, address, PathSettle, body, nil); err == nil || !c.known(address) {
+	if c.ask(within, address, PathSettle, body, nil) == nil {
 		return
 	}
-	for _, id := range body.Ended {
-		c.ends.Offer(end{address, id})
+	now := c.clock.Now()
+	for _, e := range ends {
+		if now.Before(e.until) {
+			c.ends.Offer(e)
+		}
 	}
 }
-
-// known reports whether an address is still that of a placing host, for which a
-// lost word matters.
-func (c *Client) known(address string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.clock.Now().Sub(c.silent[address]) > silenceLasts
-}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -123,6 +123,18 @@
 		client.Release(ctx, grant)
 	})
 
+	It("is told of an end that came while it was silent", func() {
+		first, _ := client.Acquire(ctx, "ravne-a", request())
+		down.Store(true)
+		alone, _ := client.Acquire(ctx, "ravne-a", request())
+		Expect(client.Alone.Load()).To(Equal(int64(1)))
+		client.Release(ctx, first)
+		client.Release(ctx, alone)
+		time.Sleep(200 * time.Millisecond)
+		down.Store(false)
+		Eventually(busy).WithTimeout(10 * time.Second).Should(BeZero())
+	})
+
 	It("has a target back whose grant got lost on the way", func() {
 		loseAnswers.Store(true)
 		grant, _ := client.Acquire(ctx, "ravne-a", request())
