--- /dev/null
+++ b/internal/balance/book.go
@@ -0,0 +1,292 @@
+package balance
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+)
+
+// Hosts is what the book must know of the region's hosts.
+type Hosts struct {
+	Self string
+	// Live are the hosts of the region that answer, with Self.
+	Live []string
+	// Known is how many hosts of the region there are, silent ones included.
+	Known int
+	// Settled tells that the host has had time to hear of the others.
+	Settled bool
+}
+
+// Book is what a host believes of its region's targets. Its owner serializes
+// the calls.
+type Book struct {
+	random  *rand.Rand
+	region  string
+	targets map[string]*target
+	hosts   Hosts
+	cold    map[string]float64 // rate of cold targets by service
+	fresh   []PartNote         // not yet told to the other hosts
+}
+
+// NewBook returns an empty Book for a region.
+func NewBook(region string, seed uint64) *Book {
+	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{}}
+}
+
+// Configure takes the targets of a snapshot.
+func (b *Book) Configure(s *catalogue.Snapshot) {
+	for id, t := range s.Targets {
+		if t.Region != b.region || s.Evacuated[t.DataCentre] {
+			continue
+		}
+		known := b.targets[id]
+		switch {
+		case known == nil:
+			b.targets[id] = newTarget(t)
+		case known.Incarnation != t.Incarnation:
+			known.restart(t)
+		default:
+			known.Target = t
+		}
+	}
+	for id, t := range b.targets {
+		if now, there := s.Targets[id]; !there || s.Evacuated[now.DataCentre] {
+			delete(b.targets, t.ID)
+		}
+	}
+	if s.Table == nil {
+		return
+	}
+	for _, t := range b.targets {
+		if service := s.Table.Service(t.Service); service != nil {
+			b.cold[t.Service] = service.ColdPerSecond
+		}
+	}
+}
+
+// SetHosts takes what is known of the region's hosts.
+func (b *Book) SetHosts(h Hosts) { b.hosts = h }
+
+// usable reports whether new calls may go to the target.
+func (b *Book) usable(now time.Time, t *target) bool {
+	if t.State != catalogue.Ready {
+		return false
+	}
+	return !now.Before(t.ColdUntil) || b.mayWarm(now, t)
+}
+
+// mayWarm reports whether the host may send to a cold target: one host of the
+// region does, at a bounded rate, and only while it hears most of the others, so
+// that hosts that cannot hear one another do not add up.
+func (b *Book) mayWarm(now time.Time, t *target) bool {
+	if !b.hosts.Settled || 2*len(b.hosts.Live) <= b.hosts.Known || !t.cold.allows(now) {
+		return false
+	}
+	return first(b.hosts.Live, t.ID) == b.hosts.Self
+}
+
+// first returns the name with the highest hash together with the key.
+func first(names []string, key string) string {
+	best, rank := "", uint64(0)
+	for _, name := range names {
+		if r := xxhash.Sum64String(name + "\x00" + key); best == "" || r > rank || (r == rank && name < best) {
+			best, rank = name, r
+		}
+	}
+	return best
+}
+
+// Choice is the best target for a call.
+type Choice struct {
+	Target     catalogue.Target
+	Prediction Prediction
+}
+
+// Choose returns the target with the lowest predicted time, or false when none
+// may be used. Targets that are excluded come only when there are no others.
+func (b *Book) Choose(now time.Time, w Work, exclude []string) (Choice, bool) {
+	var best *target
+	var prediction Prediction
+	bestCost := time.Duration(0)
+	for _, t := range b.serving(now, w.Service, exclude) {
+		p := t.predict(now, w)
+		cost := p.Total() + t.health.cost() + scale(fromMilliseconds(float64(p.shared)/t.effectiveRate(now)), rereadWeight)
+		cost = b.jitter(cost, t, w)
+		if best == nil || cost < bestCost {
+			best, prediction, bestCost = t, p, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Target: best.Target, Prediction: prediction}, true
+}
+
+const (
+	// jitterShare spreads the choices of hosts that know the same.
+	jitterShare = 0.15
+	// homeBonus favours, among equals, the target that a prompt's parts hash to.
+	homeBonus = 20 * time.Millisecond
+)
+
+func (b *Book) jitter(cost time.Duration, t *target, w Work) time.Duration {
+	cost = scale(cost, 1+jitterShare*(b.random.Float64()-0.5))
+	if len(w.Parts) > 1 {
+		h := xxhash.Sum64String(t.ID) ^ (w.Parts[len(w.Parts)-2].ID * 0x9e3779b97f4a7c15)
+		cost += time.Duration(h%1024) * homeBonus / 1024
+	}
+	return cost
+}
+
+// serving returns the usable targets of a service in order of ID. It leaves out
+// ejected and excluded ones as long as others are there.
+func (b *Book) serving(now time.Time, service string, exclude []string) []*target {
+	var good, ejected, excluded []*target
+	for _, t := range b.targets {
+		switch {
+		case t.Service != service || !b.usable(now, t):
+		case slices.Contains(exclude, t.ID):
+			excluded = append(excluded, t)
+		case t.health.out(now):
+			ejected = append(ejected, t)
+		default:
+			good = append(good, t)
+		}
+	}
+	out := good
+	if len(out) == 0 {
+		out = ejected
+	}
+	if len(out) == 0 {
+		out = excluded
+	}
+	slices.SortFunc(out, func(x, y *target) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
+// Flight is a call at a target, from its sending to its end.
+type Flight struct {
+	target *target
+	work   Work
+	began  time.Time
+	unread int
+	ahead  float64
+	first  bool
+	ended  bool
+}
+
+// Begin notes that a call is sent to a target. It returns nil when the target is
+// no longer known.
+func (b *Book) Begin(now time.Time, id string, w Work) *Flight {
+	t := b.targets[id]
+	if t == nil {
+		return nil
+	}
+	f := &Flight{target: t, work: w, began: now, ahead: t.backlog(now, w.Rank)}
+	f.unread, _ = t.unread(now, w)
+	if len(t.flying) == 0 {
+		t.progressAt = now
+	}
+	t.flying[f] = struct{}{}
+	t.keep(now, w.Parts)
+	b.tell(id, w)
+	if now.Before(t.ColdUntil) {
+		t.cold.spend(now, b.cold[t.Service])
+	}
+	return f
+}
+
+// First notes the first byte of the answer.
+func (b *Book) First(now time.Time, f *Flight) {
+	if f == nil || f.first {
+		return
+	}
+	f.first = true
+	f.target.learnFirst(now, f)
+}
+
+// End notes the end of a call at a target.
+func (b *Book) End(now time.Time, f *Flight, r Result) {
+	if f == nil || f.ended {
+		return
+	}
+	f.ended = true
+	delete(f.target.flying, f)
+	f.target.health.note(now, r)
+	if r == Answered {
+		f.target.learnEnd(now.Sub(f.began))
+	}
+}
+
+// Observe takes the load that a target tells with an answer.
+func (b *Book) Observe(now time.Time, id string, l Load) {
+	if t := b.targets[id]; t != nil {
+		t.load, t.loadAt = l, now
+	}
+}
+
+// Chill takes a target for cold for a while, as it says of itself.
+func (b *Book) Chill(now time.Time, id string, d time.Duration) {
+	if t := b.targets[id]; t != nil {
+		t.ColdUntil = now.Add(d)
+	}
+}
+
+// Leaves takes a target out of use, as it says of itself.
+func (b *Book) Leaves(id string) {
+	if t := b.targets[id]; t != nil {
+		t.State = catalogue.Draining
+	}
+}
+
+// ServiceState is what a region can do for a service.
+type ServiceState struct {
+	Targets int `json:"Targets"`
+	// WaitMs are the waits for calls of rank 0 and of the others.
+	WaitMs [2]int `json:"WaitMs"`
+	// Rate is the prompt tokens that all targets read in a millisecond.
+	Rate int `json:"Rate"`
+	// SpanMs is the time of a call without a prompt.
+	SpanMs int `json:"SpanMs"`
+}
+
+// States returns what the region can do for each service.
+func (b *Book) States(now time.Time) map[string]ServiceState {
+	services := map[string][]*target{}
+	for _, t := range b.targets {
+		if b.usable(now, t) && !t.health.out(now) {
+			services[t.Service] = append(services[t.Service], t)
+		}
+	}
+	out := map[string]ServiceState{}
+	for name, list := range services {
+		out[name] = state(now, list)
+	}
+	return out
+}
+
+func state(now time.Time, list []*target) ServiceState {
+	s := ServiceState{Targets: len(list)}
+	var spans time.Duration
+	rate := 0.0
+	for _, t := range list {
+		spans += t.span
+		rate += t.effectiveRate(now)
+	}
+	for rank := range s.WaitMs {
+		waits := make([]time.Duration, 0, len(list))
+		for _, t := range list {
+			waits = append(waits, t.predict(now, Work{Rank: rank, Tokens: 1}).Wait)
+		}
+		slices.Sort(waits)
+		s.WaitMs[rank] = int(waits[(len(waits)-1)/3].Milliseconds())
+	}
+	s.Rate = int(rate)
+	s.SpanMs = int((spans / time.Duration(len(list))).Milliseconds())
+	return s
+}
--- /dev/null
+++ b/internal/balance/decide.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"time"
+)
+
+const (
+	// comfortShare is the part of the aim within which a call stays at home
+	// without a look at other regions.
+	comfortShare = 0.5
+	// awayGain is what sending away must save at least.
+	awayGain = 40 * time.Millisecond
+	// minWaitShare is the part of the aim that a call may always wait.
+	minWaitShare = 0.3
+	// minRetryAfter and retrySpread set when a refused caller is to return.
+	minRetryAfter = 150 * time.Millisecond
+	retrySpread   = 400 * time.Millisecond
+)
+
+// Away is another region that may serve a call.
+type Away struct {
+	Region string
+	// Wait and Own predict the time there, without the way.
+	Wait time.Duration
+	Own  time.Duration
+	// Trip is the time there and back.
+	Trip time.Duration
+}
+
+// Total is the predicted time to the first byte.
+func (a Away) Total() time.Duration { return a.Wait + a.Own + a.Trip }
+
+// Question is what a decision depends on.
+type Question struct {
+	// Local is the best target at home, if Here.
+	Local Choice
+	Here  bool
+	// Away are the other regions that may be asked.
+	Away []Away
+	// Aim is the time to the first byte that is still good; Left is the time
+	// until the caller gives up.
+	Aim  time.Duration
+	Left time.Duration
+	// Typical is the usual own time of calls like this one.
+	Typical time.Duration
+	// Spread is a number from 0 to 1 that differs from call to call.
+	Spread float64
+}
+
+// Answer is where a call goes.
+type Answer struct {
+	// Local and Region exclude each other; with neither the call is refused.
+	Local  bool
+	Region string
+	// RetryAfter is when a refused caller is to come back.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Decide returns where a call goes. A call stays at home while it is expected to
+// be in good time there, and goes away only where that saves something. What
+// would wait so long that calls of its size are late everywhere is refused.
+func Decide(q Question) Answer {
+	limit := max(q.Aim-q.Typical, scale(q.Aim, minWaitShare))
+	if q.Aim == 0 {
+		limit = q.Left
+	}
+	limit = min(limit, q.Left)
+	away, found := nearest(q.Away)
+	switch {
+	case q.Here && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
+		return Answer{Local: true, Reason: "in good time"}
+	case found && away.Wait <= limit && away.Total() < q.Left && (!q.Here || away.Total()+awayGain < q.Local.Prediction.Total()):
+		return Answer{Region: away.Region, Reason: "sooner in another region"}
+	case q.Here && q.Local.Prediction.Wait <= limit:
+		return Answer{Local: true, Reason: "within the wait that is allowed"}
+	case !q.Here && !found:
+		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
+	default:
+		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the wait is too long"}
+	}
+}
+
+func nearest(regions []Away) (Away, bool) {
+	var best Away
+	for i, a := range regions {
+		if i == 0 || a.Total() < best.Total() {
+			best = a
+		}
+	}
+	return best, len(regions) > 0
+}
+
+// retryAfter is when the wait is expected to have fallen to half of the limit.
+func retryAfter(q Question, limit time.Duration) time.Duration {
+	over := time.Duration(0)
+	if q.Here {
+		over = max(0, q.Local.Prediction.Wait-limit/2)
+	}
+	return minRetryAfter + over + scale(retrySpread, q.Spread)
+}
--- /dev/null
+++ b/internal/balance/health.go
@@ -0,0 +1,73 @@
+package balance
+
+import "time"
+
+const (
+	// firstEjection is how long a target is left out after its first failure in a
+	// row; each further one doubles it.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 8 * time.Second
+	// toleratedFaults is how many failures in a row a target that still answers
+	// may have.
+	toleratedFaults = 2
+	// faultCost is added to the predicted time for a target that always fails.
+	faultCost = 1500 * time.Millisecond
+)
+
+// Result is how a call at a target ended.
+type Result int
+
+// The results.
+const (
+	// Answered is a whole answer.
+	Answered Result = iota
+	// Failed is an answer that tells of a failure in the target.
+	Failed
+	// Refused is a refusal without running the call.
+	Refused
+	// Unreached means that no connection was made.
+	Unreached
+	// Silent means that the call was sent and no whole answer came.
+	Silent
+	// Abandoned means that the caller left, or the host gave up; it says nothing
+	// of the target.
+	Abandoned
+)
+
+// String returns the result's name.
+func (r Result) String() string {
+	return [...]string{"Answered", "Failed", "Refused", "Unreached", "Silent", "Abandoned"}[r]
+}
+
+// health is what the ends of calls say of a target.
+type health struct {
+	faults       float64 // share of calls that failed, as a running mean
+	inRow        int
+	ejectedUntil time.Time
+	ejections    int
+}
+
+func (h *health) note(now time.Time, r Result) {
+	switch r {
+	case Abandoned:
+		return
+	case Answered:
+		h.faults -= learnShare * h.faults
+		h.inRow, h.ejections = 0, 0
+		h.ejectedUntil = time.Time{}
+		return
+	case Failed, Refused, Unreached, Silent:
+	}
+	h.faults += learnShare * (1 - h.faults)
+	h.inRow++
+	if r == Unreached || h.inRow > toleratedFaults {
+		pause := min(firstEjection<<min(h.ejections, 8), maxEjection)
+		h.ejections++
+		h.ejectedUntil = now.Add(pause)
+	}
+}
+
+func (h *health) out(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+// cost is added to the predicted time of a target that fails calls.
+func (h *health) cost() time.Duration { return scale(faultCost, h.faults) }
--- /dev/null
+++ b/internal/balance/target.go
@@ -0,0 +1,181 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+)
+
+// target is what the host believes of one target.
+type target struct {
+	catalogue.Target
+
+	rate   float64       // tokens of prompt per millisecond
+	span   time.Duration // of a call without a prompt
+	flying map[*Flight]struct{}
+	shares map[string]hostShare
+	load   Load
+	loadAt time.Time
+	// progressAt is when the target last showed that it reads prompts.
+	progressAt time.Time
+	parts      map[uint64]time.Time
+	health     health
+	cold       coldBudget
+}
+
+// hostShare is what another host has at a target.
+type hostShare struct {
+	TargetShare
+	at time.Time
+}
+
+func newTarget(t catalogue.Target) *target {
+	return &target{
+		Target: t, rate: initialRate, span: initialSpan, flying: map[*Flight]struct{}{},
+		shares: map[string]hostShare{}, parts: map[uint64]time.Time{},
+	}
+}
+
+// restart forgets what a new process of the target cannot know any more.
+func (t *target) restart(next catalogue.Target) {
+	t.Target = next
+	t.parts = map[uint64]time.Time{}
+	t.health = health{}
+	t.load, t.loadAt = Load{}, time.Time{}
+}
+
+// flights counts the calls of all hosts at the target.
+func (t *target) flights(now time.Time) int {
+	n := len(t.flying)
+	for _, s := range t.shares {
+		if now.Sub(s.at) < shareAge {
+			n += s.Flights
+		}
+	}
+	return n
+}
+
+// backlog is the tokens of prompts that go before a call of the rank.
+func (t *target) backlog(now time.Time, rank int) float64 {
+	own, oldest := 0, 0
+	for f := range t.flying {
+		if f.first || f.work.Rank > rank {
+			continue
+		}
+		own += f.unread
+		oldest = max(oldest, f.unread)
+	}
+	tokens := float64(own)
+	if own > 0 {
+		tokens -= min(t.effectiveRate(now)*milliseconds(now.Sub(t.progressAt)), float64(oldest))
+	}
+	for _, s := range t.shares {
+		if age := now.Sub(s.at); age < shareAge {
+			tokens += float64(s.backlog(rank))
+		}
+	}
+	return max(0, tokens)
+}
+
+func (t *target) slowdown(now time.Time) float64 {
+	if t.load.Slowdown > 0 && now.Sub(t.loadAt) < loadAge {
+		return t.load.Slowdown
+	}
+	return 1
+}
+
+func (t *target) effectiveRate(now time.Time) float64 { return t.rate / t.slowdown(now) }
+
+// unread counts the tokens of a prompt that the target has to read: all after the
+// first part that it does not keep. shared counts those that other calls share.
+func (t *target) unread(now time.Time, w Work) (tokens, shared int) {
+	if len(w.Parts) == 0 {
+		return w.Tokens, 0
+	}
+	for i, p := range w.Parts {
+		used, kept := t.parts[p.ID]
+		if kept && now.Sub(used) < partAge && tokens == 0 {
+			continue
+		}
+		tokens += p.Tokens
+		if i < len(w.Parts)-1 {
+			shared += p.Tokens
+		}
+	}
+	return tokens, shared
+}
+
+// keep notes that the target has read the parts.
+func (t *target) keep(now time.Time, parts []Part) {
+	if len(t.parts)+len(parts) > maxParts {
+		for id, used := range t.parts {
+			if now.Sub(used) > partAge {
+				delete(t.parts, id)
+			}
+		}
+	}
+	for _, p := range parts {
+		if len(t.parts) < maxParts {
+			t.parts[p.ID] = now
+		}
+	}
+}
+
+// Prediction is the expected time to the first byte at a target.
+type Prediction struct {
+	// Wait passes before the target begins with the call.
+	Wait time.Duration
+	// Own is the call's own time after that.
+	Own time.Duration
+	// Unread is the tokens of the prompt that the target reads.
+	Unread int
+	shared int
+}
+
+// Total is the time to the first byte.
+func (p Prediction) Total() time.Duration { return p.Wait + p.Own }
+
+// predict returns the expected time to the first byte of a call.
+func (t *target) predict(now time.Time, w Work) Prediction {
+	flights := t.flights(now)
+	over := max(0, flights+1-max(1, t.Slots))
+	if w.Tokens == 0 {
+		span := scale(t.span, t.slowdown(now))
+		return Prediction{Wait: span * time.Duration(over) / time.Duration(max(1, t.Slots)), Own: span}
+	}
+	rate := t.effectiveRate(now)
+	unread, shared := t.unread(now, w)
+	wait := t.backlog(now, w.Rank) / rate
+	if over > 0 {
+		wait += float64(over) * milliseconds(t.span) / float64(max(1, t.Slots))
+	}
+	return Prediction{
+		Wait: fromMilliseconds(wait), Own: baseSpan + fromMilliseconds(float64(unread)/rate),
+		Unread: unread, shared: shared,
+	}
+}
+
+// learnFirst takes the time to the first byte of a call.
+func (t *target) learnFirst(now time.Time, f *Flight) {
+	t.progressAt = now
+	took := now.Sub(f.began)
+	if f.work.Tokens == 0 {
+		return
+	}
+	tokens := f.ahead + float64(f.unread)
+	if ms := milliseconds(took - baseSpan); tokens >= minSampleTokens && ms > 0 {
+		sample := min(max(tokens/ms*t.slowdown(now), minRate), maxRate)
+		t.rate += learnShare * (sample - t.rate)
+	}
+}
+
+// learnEnd takes the whole time of a call that was answered well.
+func (t *target) learnEnd(took time.Duration) {
+	t.span += time.Duration(learnShare * float64(took-t.span))
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- /dev/null
+++ b/internal/balance/work.go
@@ -0,0 +1,60 @@
+// Package balance decides where a call goes: to a target of the own region, to
+// another region, or nowhere. It predicts the time to the first byte at each
+// target from what the region's hosts have sent there and what the target has
+// shown so far. The package does no I/O and reads no clock.
+package balance
+
+import "time"
+
+// Part is a piece of a prompt that targets keep in memory.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Work is what a call asks of a target.
+type Work struct {
+	Service string
+	Rank    int
+	// Tokens is the length of the prompt; 0 for calls without one.
+	Tokens int
+	// Parts are the pieces of the prompt in order.
+	Parts []Part
+}
+
+// Load is what a target says of itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowdown is the time that work takes now over the usual time.
+	Slowdown float64
+}
+
+// Limits of what is believed.
+const (
+	// initialRate is the prompt reading rate, in tokens per millisecond, that is
+	// taken for a target before it has answered.
+	initialRate = 40.0
+	// initialSpan is the time of a call without a prompt before any answer.
+	initialSpan = 60 * time.Millisecond
+	// baseSpan is the time to a first event beyond reading the prompt.
+	baseSpan = 15 * time.Millisecond
+	// learnShare is the weight of a new sample in a mean.
+	learnShare = 0.1
+	// minSampleTokens is the shortest prompt that says something of the rate.
+	minSampleTokens = 500
+	minRate         = 2.0
+	maxRate         = 400.0
+	// loadAge is how long a target's own report of its load is believed.
+	loadAge = 400 * time.Millisecond
+	// shareAge is how long the share of another host is believed.
+	shareAge = 1500 * time.Millisecond
+	// partAge is how long a part is taken to be kept after its last use.
+	partAge = 30 * time.Second
+	// maxParts bounds the parts that are remembered for a target.
+	maxParts = 4096
+	// rereadWeight is what reading a shared part once more costs beyond its time,
+	// as a share of that time.
+	rereadWeight = 0.5
+)
--- /dev/null
+++ b/internal/catalogue/catalogue.go
@@ -0,0 +1,322 @@
+package catalogue
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sequoiarack/sequoiarack/internal/clock"
+	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+// Statement is what an entry of the store says, in the product's terms.
+type Statement struct {
+	Kind     Kind
+	Document route.Document // of a Configuration
+	Report   Report         // of a TargetReport
+	// DataCentre is the one of an Evacuation.
+	DataCentre string
+}
+
+// Decoder reads entries of the store. It tells the kind of an entry by its key,
+// also when it cannot read the value.
+type Decoder interface {
+	Decode(key string, value []byte) (Statement, error)
+}
+
+// lapseGrace is how long a target whose entry lapsed in an outage of the store
+// may take to write it again.
+const lapseGrace = 2 * time.Second
+
+// Snapshot is the state at one moment. It is immutable.
+type Snapshot struct {
+	Revision  int64
+	Table     *route.Table // nil before the first configuration
+	Targets   map[string]Target
+	Evacuated map[string]bool // by data centre
+}
+
+// Catalogue keeps the newest state. It is safe for concurrent use.
+type Catalogue struct {
+	decoder Decoder
+	regions map[string]string // by data centre
+	clock   clock.Clock
+	log     logr.Logger
+	changed func(*Snapshot)
+
+	mu       sync.Mutex
+	entries  map[string]keyvalue.Entry
+	removed  map[string]int64 // revisions of removals
+	outage   time.Time        // end of the last outage of the store
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// Option changes a Catalogue under construction.
+type Option func(*Catalogue)
+
+// WithClock sets the clock.
+func WithClock(c clock.Clock) Option { return func(k *Catalogue) { k.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l logr.Logger) Option { return func(k *Catalogue) { k.log = l } }
+
+// WithChanged sets what is told of each new snapshot. It must not block.
+func WithChanged(f func(*Snapshot)) Option { return func(k *Catalogue) { k.changed = f } }
+
+// New returns an empty Catalogue. Regions gives the region of each data centre.
+func New(decoder Decoder, regions map[string]string, options ...Option) *Catalogue {
+	c := &Catalogue{
+		decoder: decoder, regions: regions, clock: clock.System{}, log: logr.Discard(), changed: func(*Snapshot) {},
+		entries: map[string]keyvalue.Entry{}, removed: map[string]int64{},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	c.snapshot.Store(&Snapshot{Targets: map[string]Target{}, Evacuated: map[string]bool{}})
+	return c
+}
+
+// Now returns the newest snapshot.
+func (c *Catalogue) Now() *Snapshot { return c.snapshot.Load() }
+
+// StoreReturned notes that the store answers again after an outage, so that
+// targets whose entries lapsed meanwhile get time to write them again.
+func (c *Catalogue) StoreReturned() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outage = c.clock.Now()
+}
+
+// Apply takes changes of the store up to a revision.
+func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.next(revision)
+	for _, e := range events {
+		if e.Deleted {
+			c.remove(next, e.Key, e.ModRevision)
+		} else {
+			c.put(next, e.Entry)
+		}
+	}
+	c.publish(next)
+}
+
+// Replace takes a whole read of the store at a revision: what is not in it was
+// removed. A read older than what is known is passed over.
+func (c *Catalogue) Replace(entries []keyvalue.Entry, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.Now().Revision {
+		return
+	}
+	next := c.next(revision)
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		seen[e.Key] = true
+		c.put(next, e)
+	}
+	for key := range c.entries {
+		if !seen[key] {
+			c.remove(next, key, revision)
+		}
+	}
+	c.publish(next)
+}
+
+// Difference is what one host tells another that knows less.
+type Difference struct {
+	Revision int64
+	Entries  []keyvalue.Entry // changed after the asked revision
+	Keys     []string         // all that there are
+}
+
+// Since returns what has changed after a revision, and false when nothing has.
+func (c *Catalogue) Since(revision int64) (Difference, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Difference{Revision: c.Now().Revision}
+	if d.Revision <= revision {
+		return d, false
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
+		d.Keys = append(d.Keys, key)
+		if e := c.entries[key]; e.ModRevision > revision {
+			d.Entries = append(d.Entries, e)
+		}
+	}
+	return d, true
+}
+
+// Merge takes what another host told.
+func (c *Catalogue) Merge(d Difference) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.Revision <= c.Now().Revision {
+		return
+	}
+	next := c.next(d.Revision)
+	for _, e := range d.Entries {
+		c.put(next, e)
+	}
+	for key := range c.entries {
+		if !slices.Contains(d.Keys, key) {
+			c.remove(next, key, d.Revision)
+		}
+	}
+	c.publish(next)
+}
+
+// Sweep drops the targets whose entries have been missing for too long.
+func (c *Catalogue) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	var next *Snapshot
+	for id, t := range c.Now().Targets {
+		if t.Missing.IsZero() || now.Sub(t.Missing) < lapseGrace {
+			continue
+		}
+		if next == nil {
+			next = c.next(c.Now().Revision)
+		}
+		delete(next.Targets, id)
+		c.log.Info("A target whose entry lapsed is gone.", "Target", id)
+	}
+	if next != nil {
+		c.publish(next)
+	}
+}
+
+func (c *Catalogue) next(revision int64) *Snapshot {
+	old := c.Now()
+	return &Snapshot{
+		Revision: max(old.Revision, revision), Table: old.Table,
+		Targets: maps.Clone(old.Targets), Evacuated: maps.Clone(old.Evacuated),
+	}
+}
+
+func (c *Catalogue) publish(s *Snapshot) {
+	c.snapshot.Store(s)
+	c.changed(s)
+}
+
+// put takes one entry unless something newer is known of its key.
+func (c *Catalogue) put(next *Snapshot, e keyvalue.Entry) {
+	if c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision {
+		return
+	}
+	c.entries[e.Key] = e
+	delete(c.removed, e.Key)
+	statement, err := c.decoder.Decode(e.Key, e.Value)
+	if err != nil {
+		c.log.Error(err, "An entry of the store could not be read.", "Key", e.Key, "Revision", e.ModRevision)
+		if statement.Kind == TargetReport {
+			delete(next.Targets, statement.Report.ID)
+		}
+		return
+	}
+	switch statement.Kind {
+	case Configuration:
+		c.configure(next, statement.Document, e.ModRevision)
+	case TargetReport:
+		c.report(next, statement.Report)
+	case Evacuation:
+		next.Evacuated[statement.DataCentre] = true
+		c.log.Info("A data centre is evacuated.", "DataCentre", statement.DataCentre, "Revision", e.ModRevision)
+	case Nothing:
+	}
+}
+
+// configure adopts a configuration only if its version is higher.
+func (c *Catalogue) configure(next *Snapshot, d route.Document, revision int64) {
+	if next.Table != nil && d.Version <= next.Table.Version() {
+		return
+	}
+	table, err := route.NewTable(d)
+	if err != nil {
+		c.log.Error(err, "A configuration is wrong; the last good one stays in force.", "Version", d.Version)
+		return
+	}
+	next.Table = table
+	c.log.Info("A configuration is in force.", "Version", d.Version, "Revision", revision, "Routes", table.Routes())
+}
+
+func (c *Catalogue) report(next *Snapshot, r Report) {
+	old, known := next.Targets[r.ID]
+	sameStart := known && old.Born == r.Born
+	if known && (r.Born < old.Born || (sameStart && r.Sequence < old.Sequence)) {
+		return
+	}
+	if sameStart && old.State == Draining {
+		r.State = Draining // leaving is for good
+	}
+	now := c.clock.Now()
+	t := Target{
+		Report: r, Region: c.regions[r.DataCentre],
+		Incarnation: r.ID + "@" + strconv.FormatInt(r.Born, 10), ColdUntil: now.Add(r.Cold),
+	}
+	if !sameStart || old.State != t.State || !old.Missing.IsZero() {
+		c.log.Info("A target reports.", "Target", r.ID, "Service", r.Service, "Address", r.Address,
+			"State", r.State.String(), "ColdMs", r.Cold.Milliseconds(), "Born", r.Born)
+	}
+	next.Targets[r.ID] = t
+}
+
+// remove takes the removal of a key.
+func (c *Catalogue) remove(next *Snapshot, key string, revision int64) {
+	e, known := c.entries[key]
+	if !known || e.ModRevision >= revision {
+		return
+	}
+	delete(c.entries, key)
+	c.removed[key] = revision
+	statement, _ := c.decoder.Decode(key, e.Value)
+	switch statement.Kind {
+	case TargetReport:
+		c.lose(next, statement.Report.ID)
+	case Evacuation:
+		delete(next.Evacuated, statement.DataCentre)
+		c.log.Info("The evacuation of a data centre ends.", "DataCentre", statement.DataCentre, "Revision", revision)
+		c.chill(next, statement.DataCentre)
+	case Configuration, Nothing:
+	}
+}
+
+// chill takes the targets of a data centre that is used again for cold, until
+// their next reports say otherwise.
+func (c *Catalogue) chill(next *Snapshot, dataCentre string) {
+	if next.Table == nil {
+		return
+	}
+	for id, t := range next.Targets {
+		if s := next.Table.Service(t.Service); t.DataCentre == dataCentre && s != nil {
+			t.ColdUntil = c.clock.Now().Add(s.ColdStart)
+			next.Targets[id] = t
+		}
+	}
+}
+
+// lose drops a target. After an outage of the store, its entry may have lapsed
+// while the target lives; then it stays in use for a while.
+func (c *Catalogue) lose(next *Snapshot, id string) {
+	t, known := next.Targets[id]
+	if !known {
+		return
+	}
+	now := c.clock.Now()
+	if t.State == Ready && !c.outage.IsZero() && now.Sub(c.outage) < lapseGrace {
+		t.Missing = now
+		next.Targets[id] = t
+		c.log.Info("The entry of a target lapsed in an outage of the store.", "Target", id)
+		return
+	}
+	delete(next.Targets, id)
+	c.log.Info("A target is gone.", "Target", id)
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http/httputil"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,8 +30,10 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer  Dialer
-	maxIdle int
+	dialer     Dialer
+	maxIdle    int
+	echo       string // header that an answer repeats from its request
+	endByClose bool
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -41,6 +46,14 @@
 // WithMaxIdle sets how many idle connections are kept for each address.
 func WithMaxIdle(n int) Option { return func(p *Pool) { p.maxIdle = n } }
 
+// WithEcho names a header whose value an answer repeats from its request. An
+// answer with another value belongs to an earlier exchange and is passed over.
+func WithEcho(header string) Option { return func(p *Pool) { p.echo = header } }
+
+// WithEndByClose takes a body without length for whole when its connection is
+// closed in order. One that is reset is never whole.
+func WithEndByClose() Option { return func(p *Pool) { p.endByClose = true } }
+
 // NewPool returns a Pool that opens its connections with dialer.
 func NewPool(dialer Dialer, options ...Option) *Pool {
 	p := &Pool{dialer: dialer, maxIdle: defaultMaxIdle, idle: map[string][]*conn{}}
@@ -55,6 +68,7 @@
 	address  string
 	reader   *bufio.Reader
 	lastUsed time.Time
+	idleTime time.Duration // how long the connection may stay idle
 }
 
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
@@ -81,19 +95,52 @@
 		return nil, wrap(op, Unsent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	if kind, err := send(c, request); err != nil {
+	kind, sendErr := send(c, request)
+	if sendErr != nil && kind == Unsent {
 		stop()
 		_ = c.Close()
-		return nil, wrap(op, kind, err)
+		return nil, wrap(op, kind, sendErr)
 	}
-	response := &Response{pool: p, conn: c, stop: stop}
-	if err := response.readHeader(request.Header.IsHead()); err != nil {
+	// A peer may answer and close before it has read a long request.
+	response := &Response{pool: p, conn: c, stop: stop, spent: sendErr != nil}
+	if err := response.readOwn(request); err != nil {
 		response.abandon()
-		return nil, wrap(op, Unanswered, err)
+		return nil, wrap(op, Unanswered, errors.WithMessagef(err, "sent whole: %t", sendErr == nil))
 	}
 	return response, nil
 }
 
+// maxForeign bounds the answers of earlier exchanges that are passed over.
+const maxForeign = 3
+
+// readOwn reads headers up to the answer of the request.
+func (r *Response) readOwn(request *fasthttp.Request) error {
+	for range maxForeign {
+		if err := r.readHeader(request.Header.IsHead()); err != nil {
+			return err
+		}
+		if r.pool.belongs(request, &r.Header) {
+			if _, empty := r.raw.(eof); empty {
+				r.finish()
+			}
+			return nil
+		}
+		r.spent = true
+		if _, err := io.Copy(io.Discard, r.raw); err != nil {
+			return err
+		}
+	}
+	return errors.New("the answers of other requests came")
+}
+
+func (p *Pool) belongs(request *fasthttp.Request, answer *fasthttp.ResponseHeader) bool {
+	if p.echo == "" {
+		return true
+	}
+	echoed := answer.Peek(p.echo)
+	return len(echoed) == 0 || bytes.Equal(echoed, request.Header.Peek(p.echo))
+}
+
 func send(c *conn, request *fasthttp.Request) (Kind, error) {
 	counter := &countingWriter{to: c.Conn}
 	w, _ := writers.Get().(*bufio.Writer)
@@ -116,7 +163,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.lastUsed) < maxIdleTime && quiet(c.Conn) {
+		if time.Since(c.lastUsed) < c.idleTime && quiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -125,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTime: maxIdleTime}, nil
 }
 
 func (p *Pool) takeIdle(address string) *conn {
@@ -173,6 +220,7 @@
 	stop  func() bool
 	raw   io.Reader
 	state bodyState
+	spent bool // the connection is not used again
 }
 
 type bodyState int
@@ -201,14 +249,14 @@
 	status := r.Header.StatusCode()
 	switch {
 	case head, status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified, length == 0:
-		r.finish()
 		return eof{}
 	case length > 0:
 		return &exactReader{from: r.conn.reader, left: length}
 	case length == lengthChunked:
 		return &chunkedReader{from: r.conn.reader, chunks: httputil.NewChunkedReader(r.conn.reader)}
 	default:
-		return &untilClose{from: r.conn.reader}
+		r.spent = true
+		return &untilClose{from: r.conn.reader, whole: r.pool.endByClose}
 	}
 }
 
@@ -266,12 +314,16 @@
 	}
 }
 
-// untilClose reads a body without length, whose end cannot be told from a cut.
-type untilClose struct{ from io.Reader }
+// untilClose reads a body without length. Unless whole is set, its end cannot be
+// told from a cut.
+type untilClose struct {
+	from  io.Reader
+	whole bool
+}
 
 func (u *untilClose) Read(b []byte) (int, error) {
 	n, err := u.from.Read(b)
-	if err == io.EOF {
+	if err == io.EOF && !u.whole {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -325,13 +377,36 @@
 		return
 	}
 	r.state = bodyEnded
-	if !r.stop() || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 {
+	if !r.stop() || r.spent || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
+	if d, ok := keepAlive(r.Get("Keep-Alive")); ok {
+		r.conn.idleTime = min(r.conn.idleTime, d)
+	}
 	r.pool.put(r.conn)
 }
 
+// keepAliveMargin is taken off the time that a peer keeps an idle connection, so
+// that a request does not meet the close.
+const keepAliveMargin = 500 * time.Millisecond
+
+// keepAlive reads the timeout parameter of a Keep-Alive header, in seconds.
+func keepAlive(value string) (time.Duration, bool) {
+	for part := range strings.SplitSeq(value, ",") {
+		name, text, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil || seconds < 0 {
+			return 0, false
+		}
+		return max(0, time.Duration(seconds)*time.Second-keepAliveMargin), true
+	}
+	return 0, false
+}
+
 func (r *Response) abandon() {
 	if r.state != bodyOpen {
 		return
--- a/internal/exchange/quiet.go
+++ b/internal/exchange/quiet.go
@@ -34,10 +34,10 @@
 	}
 	var n int
 	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
+	// Control and not Read: a read deadline that has passed is no hang-up.
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	if err != nil {
 		return false, false
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/quarantine"
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+// flight is a call in the host, from its reading to its answer.
+type flight struct {
+	g       *Gateway
+	call    Call
+	route   *route.Route
+	service string
+	version uint64
+	work    balance.Work
+	digest  string
+	// received tells that another host has sent the call here.
+	received bool
+	began    time.Time // when the caller's host took it
+	arrival  time.Time // when this host took it
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	request  *fasthttp.Request // as it came, without what callers may not set
+
+	sends   int // that may have run
+	refused int // sends that were refused without running
+	tried   []string
+	away    []string // regions that were asked
+	notes   []string // what was decided and what came of it, for the log
+	maybe   bool     // a send may have run
+}
+
+// reply is what the caller gets.
+type reply struct {
+	status     int
+	retryAfter time.Duration
+	outcome    core.Outcome
+	reason     string
+	source     *source // nil for the host's own answer
+}
+
+// ownReply returns an answer of the host itself: a promise that the call has not
+// run only when no send may have run.
+func (f *flight) ownReply(reason string, retryAfter time.Duration) reply {
+	if !f.maybe {
+		return reply{status: fasthttp.StatusServiceUnavailable, outcome: core.NotRun, reason: reason, retryAfter: retryAfter}
+	}
+	status := fasthttp.StatusBadGateway
+	if f.ctx.Err() != nil {
+		status = fasthttp.StatusGatewayTimeout
+	}
+	return reply{status: status, outcome: core.Unknown, reason: reason}
+}
+
+// maxRefusals bounds the sends of one call that targets or regions refuse.
+const maxRefusals = 2
+
+// run decides where the call goes until it is answered or given up.
+func (f *flight) run() reply {
+	if f.g.quarantined(f.digest) {
+		return f.ownReply("the call has ended several targets", quarantineRetry)
+	}
+	for {
+		if f.ctx.Err() != nil {
+			return f.ownReply("the time is over", retryAtOnce)
+		}
+		if f.refused > maxRefusals {
+			return f.ownReply("targets refuse the call", f.g.spread(retryAtOnce))
+		}
+		answer, choice := f.decide()
+		var s *source
+		var r result
+		switch {
+		case answer.Local:
+			s, r = f.sendLocal(choice)
+		case answer.Region != "":
+			s, r = f.sendAway(answer.Region)
+		default:
+			return f.ownReply(answer.Reason, answer.RetryAfter)
+		}
+		if s != nil {
+			return reply{status: s.response.Status(), outcome: core.Run, source: s, reason: answer.Reason}
+		}
+		if !f.mayGoOn(r) {
+			return f.ownReply(r.reason, f.g.spread(retryAtOnce))
+		}
+	}
+}
+
+// result tells how a send without an answer for the caller ended.
+type result struct {
+	outcome core.Outcome
+	reason  string
+	last    bool // no other send may follow
+}
+
+// mayGoOn counts a send that brought no answer and reports whether another one
+// may follow.
+func (f *flight) mayGoOn(r result) bool {
+	if r.last {
+		return false
+	}
+	if r.outcome == core.NotRun {
+		f.refused++
+		return f.ctx.Err() == nil
+	}
+	f.maybe = true
+	return f.worthRepeating()
+}
+
+// decide asks the books where the call goes next.
+func (f *flight) decide() (balance.Answer, balance.Choice) {
+	now := f.g.clock.Now()
+	left := f.deadline.Sub(now)
+	q := balance.Question{
+		Aim: max(0, f.route.Aim-now.Sub(f.began)), Left: left,
+		Typical: f.g.typical(f.route.Name), Spread: f.g.random(),
+	}
+	regions := f.allowedAway()
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	if f.route.MayServe(f.g.settings.Region) {
+		q.Local, q.Here = f.g.book.Choose(now, f.work, f.tried)
+	}
+	if !f.received {
+		q.Away = f.g.regions.Options(now, regions, f.work, !q.Here)
+	}
+	answer := balance.Decide(q)
+	f.logDecision(q, answer)
+	return answer, q.Local
+}
+
+// allowedAway returns the live regions that may serve the call and have not been
+// asked for it.
+func (f *flight) allowedAway() []string {
+	if len(f.away) >= maxAway {
+		return nil
+	}
+	var out []string
+	for _, region := range f.g.liveRegions() {
+		if f.route.MayServe(region) && !contains(f.away, region) {
+			out = append(out, region)
+		}
+	}
+	return out
+}
+
+// maxAway bounds the regions that one call is sent to.
+const maxAway = 2
+
+func contains(list []string, item string) bool {
+	for _, known := range list {
+		if known == item {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// retryAtOnce is when a caller is to come back after a refusal that another
+	// try may not meet.
+	retryAtOnce = 100 * time.Millisecond
+	// quarantineRetry is when a caller may come back with a call that ended
+	// targets.
+	quarantineRetry = 5 * time.Second
+	// deathsToQuarantine is how many targets one call may end; the first could
+	// be chance, and so could a second one in a day of crashes.
+	deathsToQuarantine = 3
+)
+
+// quarantined reports whether a call with the digest is refused.
+func (g *Gateway) quarantined(digest string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.register.Judge(g.clock.Now(), digest) == quarantine.Quarantined
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+// Headers between hosts.
+const (
+	headerLeft      = "Gateway-Left-Ms"
+	headerAge       = "Gateway-Age-Ms"
+	headerSends     = "Gateway-Sends"
+	headerTook      = "Gateway-Took-Ms"
+	headerTarget    = "Gateway-Target"
+	headerReason    = "Gateway-Reason"
+	headerLastEvent = "Gateway-Last-Event"
+	headerPrefix    = "Gateway-"
+)
+
+// sendAway sends the call to a host of another region, which sends it to one of
+// its targets and never on to another region.
+func (f *flight) sendAway(region string) (*source, result) {
+	f.away = append(f.away, region)
+	host, ok := f.g.hostOf(region)
+	if !ok {
+		f.g.lostRegion(region)
+		return nil, result{outcome: core.NotRun, reason: "no host of region " + region}
+	}
+	f.g.mu.Lock()
+	f.g.regions.Sent(f.g.clock.Now(), region, f.work)
+	f.g.mu.Unlock()
+	t := f.newTry(f.left())
+	request := f.prepareAway()
+	defer fasthttp.ReleaseRequest(request)
+	began := f.g.clock.Now()
+	response, err := f.g.peers.Do(t.ctx, host.PeerAddress, request)
+	if err != nil {
+		return nil, t.lostAway(region, host, err)
+	}
+	f.g.learnTrip(region, f.g.clock.Now().Sub(began), response.Get(headerTook))
+	return t.readAway(region, host, response)
+}
+
+func (f *flight) prepareAway() *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	f.request.Header.CopyTo(&request.Header)
+	request.Header.SetRequestURI(f.call.Target)
+	request.SetBodyRaw(f.request.Body())
+	h := &request.Header
+	h.Set(headerLeft, strconv.FormatInt(f.left().Milliseconds(), 10))
+	h.Set(headerAge, strconv.FormatInt(f.g.clock.Now().Sub(f.began).Milliseconds(), 10))
+	h.Set(headerSends, strconv.Itoa(f.sends))
+	h.Set(core.HeaderPassed, core.Passed(nil).With(f.g.settings.Region, f.g.settings.Host).String())
+	h.Set(core.HeaderVersion, strconv.FormatUint(f.version, 10))
+	if f.call.LastEvent != "" {
+		h.Set(headerLastEvent, f.call.LastEvent)
+	}
+	f.g.sealRequest(request)
+	return request
+}
+
+// lostAway judges a call to another host that brought no answer.
+func (t *try) lostAway(region string, host member.Info, err error) result {
+	f := t.f
+	kind, _ := failure.KindOf[exchange.Kind](err)
+	f.note("host %s: %v", host.Host, err)
+	hasted := t.ctx.Err() != nil
+	t.end(balance.Abandoned)
+	if !hasted {
+		f.g.lostHost(host.Host, region)
+	}
+	if kind == exchange.Unsent {
+		return result{outcome: core.NotRun, reason: "no connection to another region"}
+	}
+	f.sends++
+	return result{outcome: core.Unknown, reason: "another region did not answer"}
+}
+
+// readAway judges the answer of another host.
+func (t *try) readAway(region string, host member.Info, response *exchange.Response) (*source, result) {
+	f := t.f
+	outcome := core.ParseOutcome(response.Get(core.HeaderOutcome))
+	reason := response.Get(headerReason)
+	if outcome != core.Run {
+		if _, err := response.ReadAll(maxBodyBytes); err != nil {
+			f.note("the refusal of host %s broke off: %v", host.Host, err)
+		}
+		t.end(balance.Abandoned)
+		f.note("host %s: %s, %s", host.Host, outcome, reason)
+		if outcome == core.NotRun {
+			f.g.refusedBy(region, f.service)
+			return nil, result{outcome: outcome, reason: reason}
+		}
+		f.sends = max(f.sends+1, atoi(response.Get(headerSends)))
+		return nil, result{outcome: outcome, reason: reason}
+	}
+	f.sends++
+	s := &source{response: response, target: host.Host + "/" + response.Get(headerTarget), try: t}
+	if f.route.Kind == route.Stream && response.Status() == fasthttp.StatusOK {
+		s.stream = newEvents(response)
+	}
+	if err := s.begin(); err != nil {
+		t.end(balance.Abandoned)
+		f.note("host %s: %v", host.Host, err)
+		return nil, result{outcome: core.Unknown, reason: "an answer broke off"}
+	}
+	t.firstByte()
+	return t.settle(s, min(response.Status(), fasthttp.StatusOK))
+}
+
+func atoi(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// stripGateway removes the headers between hosts.
+func stripGateway(h *fasthttp.RequestHeader) {
+	var names []string
+	for key := range h.All() {
+		if name := string(key); strings.HasPrefix(name, headerPrefix) || name == core.HeaderPassed ||
+			name == core.HeaderVersion || name == core.HeaderSignature {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
+		h.Del(name)
+	}
+}
+
+// servePeer serves other hosts. Everything that they send is sealed.
+func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
+	if !g.checkRequest(&ctx.Request) {
+		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
+		return
+	}
+	switch string(ctx.RequestURI()) {
+	case pathPeerBoard:
+		g.serveBoard(ctx)
+		return
+	}
+	if strings.HasPrefix(string(ctx.RequestURI()), pathPeerCatalogue) {
+		g.serveCatalogue(ctx)
+		return
+	}
+	g.serveReceived(ctx)
+}
+
+// serveReceived runs a call that another host has sent here.
+func (g *Gateway) serveReceived(ctx *fasthttp.RequestCtx) {
+	h := &ctx.Request.Header
+	passed := core.ParsePassed(string(h.Peek(core.HeaderPassed)))
+	if len(passed) != 1 || passed.HasHost(g.settings.Host) {
+		g.refuseReceived(ctx, "the call has been at too many hosts")
+		return
+	}
+	f := g.newFlight(ctx, true)
+	if f == nil {
+		return
+	}
+	sender, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
+	if err != nil || sender > f.version {
+		g.refuseReceived(ctx, "the host has an older configuration than the sender")
+		return
+	}
+	f.sends = atoi(string(h.Peek(headerSends)))
+	f.began = f.began.Add(-time.Duration(atoi(string(h.Peek(headerAge)))) * time.Millisecond)
+	if left := atoi(string(h.Peek(headerLeft))); left > 0 {
+		f.deadline = g.clock.Now().Add(time.Duration(left) * time.Millisecond)
+	}
+	if last := string(h.Peek(headerLastEvent)); last != "" {
+		f.call.LastEvent = last
+	}
+	g.serveFlight(ctx, f)
+}
+
+// refuseReceived tells another host that a call was not run here.
+func (g *Gateway) refuseReceived(ctx *fasthttp.RequestCtx, reason string) {
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(core.HeaderOutcome, core.NotRun.String())
+	ctx.Response.Header.Set(headerReason, reason)
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/member"
+)
+
+const (
+	// maxNamed bounds the hosts in an answer of the directory.
+	maxNamed = 64
+	// minNear is how many hosts of a data centre are enough to name no others.
+	minNear = 2
+	// silenceAfter is how long the hosts of another region may be silent before
+	// they count as lost: several times the pause between their shares.
+	silenceAfter = 3 * time.Second
+	// lostPause is how long a host is not asked after a call to it was lost.
+	lostPause = 2 * time.Second
+	// settleTime is what a host that has started takes to hear of the others,
+	// and aloneTime what it takes to believe that there are none.
+	settleTime = 3 * time.Second
+	aloneTime  = 15 * time.Second
+)
+
+// hearing is the last word of a host.
+type hearing struct {
+	region      string
+	incarnation int64
+	counter     uint64
+	at          time.Time
+}
+
+// liveRegions returns the other regions from which there was word lately. The
+// caller need not hold the lock.
+func (g *Gateway) liveRegions() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.regionsHeard()
+}
+
+// regionsHeard is liveRegions for a caller that holds the lock.
+func (g *Gateway) regionsHeard() []string {
+	now := g.clock.Now()
+	var out []string
+	for _, h := range g.heard {
+		if h.region != g.settings.Region && now.Sub(h.at) < silenceAfter && !contains(out, h.region) {
+			out = append(out, h.region)
+		}
+	}
+	return out
+}
+
+// hostOf returns a host of another region to send a call to.
+func (g *Gateway) hostOf(region string) (member.Info, bool) {
+	view := g.gossip.View()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	var choices []member.Info
+	for _, m := range view.Members {
+		if m.Region == region && m.InUse() && now.After(g.lost[m.Host]) {
+			choices = append(choices, m)
+		}
+	}
+	if len(choices) == 0 {
+		return member.Info{}, false
+	}
+	return choices[g.source.IntN(len(choices))], true
+}
+
+// lostHost notes that a call to a host was lost.
+func (g *Gateway) lostHost(host, region string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.lost[host] = now.Add(lostPause)
+	g.regions.Lost(now, region)
+}
+
+// updateHosts tells the book which hosts of the region there are.
+func (g *Gateway) updateHosts() {
+	view := g.gossip.View()
+	h := balance.Hosts{Self: g.settings.Host}
+	for _, m := range view.Members {
+		if m.Region != g.settings.Region || m.Status == member.Gone {
+			continue
+		}
+		h.Known++
+		if m.InUse() {
+			h.Live = append(h.Live, m.Host)
+		}
+	}
+	age := g.clock.Now().Sub(g.started)
+	h.Settled = age > aloneTime || (age > settleTime && h.Known > 1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.SetHosts(h)
+}
+
+// serveReadiness says whether the host takes calls.
+func (g *Gateway) serveReadiness(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != g.protocol.ReadyPath() {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if g.leaving.Load() || g.catalogue.Now().Table == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// serveDirectory tells callers which hosts to use.
+func (g *Gateway) serveDirectory(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != g.protocol.DirectoryPath() {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	addresses := g.named(g.protocol.ReadQuestion(ctx.QueryArgs()))
+	body, err := g.protocol.WriteDirectory(addresses, g.settings.directoryTTL())
+	if err != nil || len(addresses) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+	g.closeWhenLeaving(ctx)
+}
+
+// named returns the caller addresses of the hosts that a caller is to use: those
+// of its data centre or region, and else those nearest to this host that may take
+// what it sends.
+func (g *Gateway) named(q Question) []string {
+	live := map[string]bool{g.settings.Region: true}
+	for _, region := range g.liveRegions() {
+		live[region] = true
+	}
+	homes, restricted := g.homes(q.Name)
+	near := map[string][]string{} // by data centre
+	here := map[string][]string{} // by region
+	for _, m := range g.gossip.View().Members {
+		if !m.InUse() || !live[m.Region] {
+			continue
+		}
+		near[m.DataCentre] = append(near[m.DataCentre], m.CallerAddress)
+		here[m.Region] = append(here[m.Region], m.CallerAddress)
+	}
+	if own := near[q.DataCentre]; len(own) >= minNear {
+		return own[:min(len(own), maxNamed)]
+	}
+	if own := here[q.Region]; len(own) > 0 {
+		return own[:min(len(own), maxNamed)]
+	}
+	if own := here[g.settings.Region]; len(own) > 0 && (!restricted || contains(homes, g.settings.Region)) {
+		return own[:min(len(own), maxNamed)]
+	}
+	for _, region := range homes {
+		if own := here[region]; len(own) > 0 {
+			return own[:min(len(own), maxNamed)]
+		}
+	}
+	own := here[g.settings.Region]
+	return own[:min(len(own), maxNamed)]
+}
+
+func (g *Gateway) homes(name string) ([]string, bool) {
+	table := g.catalogue.Now().Table
+	if table == nil {
+		return nil, false
+	}
+	return table.Homes(name)
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+const (
+	// maxBodyBytes bounds an answer that is no stream.
+	maxBodyBytes = 8 << 20
+	// patienceFactor and minPatience bound how long a call that may be repeated
+	// waits for the first byte of a target: a multiple of what was predicted.
+	patienceFactor = 3
+	minPatience    = 400 * time.Millisecond
+	// lastTryShare is the part of the time left that is kept for a second target.
+	lastTryShare = 0.4
+)
+
+// source is an answer that is being read: whole, or up to its first event.
+type source struct {
+	response *exchange.Response
+	body     []byte  // of an answer that is no stream
+	stream   *events // nil unless the answer is a stream
+	first    []byte  // first event of a stream
+	ended    bool    // the stream ended before its first event
+	target   string  // or the host that relays the answer
+	try      *try
+}
+
+// try is one send of a call to a target or to another region.
+type try struct {
+	f      *flight
+	choice balance.Choice
+	handle *balance.Flight // nil for a send to another region
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer // ends the patience, nil when there is none
+}
+
+// newTry begins a send. A call that may be repeated leaves time for a second
+// target; any other waits for as long as its caller does.
+func (f *flight) newTry(predicted time.Duration) *try {
+	t := &try{f: f}
+	t.ctx, t.cancel = context.WithCancel(f.ctx)
+	if f.route.Repeatable() && f.sends+1 < f.route.MaxAttempts {
+		wait := max(minPatience, patienceFactor*predicted, f.route.Aim)
+		t.timer = time.AfterFunc(min(wait, time.Duration((1-lastTryShare)*float64(f.left()))), t.cancel)
+	}
+	return t
+}
+
+// expect restarts the patience for the next event of a stream.
+func (t *try) expect(d time.Duration) {
+	if t.timer != nil {
+		t.timer.Reset(d)
+	}
+}
+
+// firstByte notes that the target has begun to answer.
+func (t *try) firstByte() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if t.handle == nil {
+		return
+	}
+	g := t.f.g
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.First(now, t.handle)
+	g.learnTypical(t.f.route.Name, t.choice.Prediction.Own)
+}
+
+// end frees what the send holds and notes how it ended.
+func (t *try) end(r balance.Result) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.cancel()
+	if t.handle == nil {
+		return
+	}
+	g := t.f.g
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.End(now, t.handle, r)
+}
+
+// sendLocal sends the call to a target of the own region.
+func (f *flight) sendLocal(choice balance.Choice) (*source, result) {
+	target := choice.Target
+	if !f.countSend() {
+		return nil, result{outcome: f.outcomeSoFar(), reason: "the budget for repeats is spent", last: true}
+	}
+	t := f.newTry(choice.Prediction.Total())
+	t.choice = choice
+	f.g.mu.Lock()
+	t.handle = f.g.book.Begin(f.g.clock.Now(), target.ID, f.work)
+	f.g.mu.Unlock()
+	f.tried = append(f.tried, target.ID)
+	request := f.prepare(Send{Instance: target.ID, Left: f.left(), Rank: f.route.Rank, Ranked: f.work.Tokens > 0})
+	defer fasthttp.ReleaseRequest(request)
+	response, err := f.g.pool.Do(t.ctx, target.Address, request)
+	if err != nil {
+		return nil, t.failed(err)
+	}
+	return t.readAnswer(response)
+}
+
+// countSend takes a send out of the budgets and reports whether it may go out.
+func (f *flight) countSend() bool {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	budget, now := f.g.budget(f.service), f.g.clock.Now()
+	if f.sends+f.refused == 0 {
+		budget.Call(now)
+		return true
+	}
+	return budget.Spend(now)
+}
+
+// outcomeSoFar is what is known when no further send is made.
+func (f *flight) outcomeSoFar() core.Outcome {
+	if f.maybe {
+		return core.Unknown
+	}
+	return core.NotRun
+}
+
+// prepare copies the caller's request for a target.
+func (f *flight) prepare(s Send) *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	f.request.Header.CopyTo(&request.Header)
+	request.Header.SetRequestURI(f.call.Target)
+	request.SetBodyRaw(f.request.Body())
+	if s.LastEvent == "" {
+		s.LastEvent = f.call.LastEvent
+	}
+	f.g.protocol.WriteSend(&request.Header, s)
+	return request
+}
+
+func (f *flight) left() time.Duration { return f.deadline.Sub(f.g.clock.Now()) }
+
+// failed judges a send that brought no answer.
+func (t *try) failed(err error) result {
+	f, target := t.f, t.choice.Target
+	kind, _ := failure.KindOf[exchange.Kind](err)
+	f.note("target %s: %v", target.ID, err)
+	if kind == exchange.Unsent {
+		t.end(t.resultOf(balance.Unreached))
+		return result{outcome: core.NotRun, reason: "no connection to a target"}
+	}
+	f.sends++
+	hasted := t.ctx.Err() != nil
+	t.end(t.resultOf(balance.Silent))
+	if !hasted {
+		f.g.suspect(f.digest, target)
+	}
+	return result{outcome: core.Unknown, reason: "a target did not answer"}
+}
+
+// resultOf returns how a send ended that brought r: nothing that a target can
+// help when the caller left.
+func (t *try) resultOf(r balance.Result) balance.Result {
+	if t.f.ctx.Err() != nil && t.f.g.clock.Now().Before(t.f.deadline) {
+		return balance.Abandoned
+	}
+	return r
+}
+
+// readAnswer judges the head of a target's answer and reads on.
+func (t *try) readAnswer(response *exchange.Response) (*source, result) {
+	f, target := t.f, t.choice.Target
+	answer := f.g.protocol.ReadAnswer(&response.Header)
+	f.g.learnHead(target.ID, answer)
+	status := response.Status()
+	if answer.NotRun {
+		return nil, t.refused(response)
+	}
+	f.sends++
+	if status < fasthttp.StatusMultipleChoices && (!answer.Sealed || response.Get(fasthttp.HeaderContentEncoding) != "") {
+		response.Close()
+		t.end(balance.Silent)
+		f.note("target %s: an answer without a seal", target.ID)
+		return nil, result{outcome: core.Unknown, reason: "what came is no answer of a target"}
+	}
+	s := &source{response: response, target: target.ID, try: t}
+	if f.route.Kind == route.Stream && status == fasthttp.StatusOK {
+		s.stream = newEvents(response)
+	}
+	if err := s.begin(); err != nil {
+		hasted := t.ctx.Err() != nil
+		t.end(t.resultOf(balance.Silent))
+		f.note("target %s: %v", target.ID, err)
+		if !hasted {
+			f.g.suspect(f.digest, target)
+		}
+		return nil, result{outcome: core.Unknown, reason: "an answer broke off"}
+	}
+	t.firstByte()
+	return t.settle(s, status)
+}
+
+// settle ends the send of a whole answer. A failure of the target is passed on
+// unless the call may be repeated.
+func (t *try) settle(s *source, status int) (*source, result) {
+	switch {
+	case s.stream != nil:
+	case status < fasthttp.StatusInternalServerError:
+		t.end(balance.Answered)
+	default:
+		t.end(balance.Failed)
+		if t.f.worthRepeating() {
+			t.f.note("target %s answers %d", s.target, status)
+			return nil, result{outcome: core.Unknown, reason: "a target failed"}
+		}
+	}
+	return s, result{}
+}
+
+// refused takes a target's word that it has not run the call.
+func (t *try) refused(response *exchange.Response) result {
+	status := response.Status()
+	if _, err := response.ReadAll(maxBodyBytes); err != nil {
+		t.f.note("the refusal of target %s broke off: %v", t.choice.Target.ID, err)
+	}
+	t.f.note("target %s refuses with %d", t.choice.Target.ID, status)
+	if status == fasthttp.StatusMisdirectedRequest {
+		t.f.g.leaves(t.choice.Target.ID)
+	}
+	t.end(balance.Refused)
+	return result{outcome: core.NotRun, reason: "a target refuses the call"}
+}
+
+// worthRepeating reports whether a target's failure may be met by another send.
+func (f *flight) worthRepeating() bool {
+	return f.route.Repeatable() && f.sends < f.route.MaxAttempts && f.ctx.Err() == nil
+}
+
+// begin reads a whole body, or a stream up to its first event.
+func (s *source) begin() error {
+	if s.stream == nil {
+		body, err := s.response.ReadAll(maxBodyBytes)
+		s.body = body
+		return err
+	}
+	return s.beginStream()
+}
+
+func (s *source) beginStream() error {
+	event, err := s.stream.next()
+	if isEnd(err) {
+		s.ended = true
+		return nil
+	}
+	s.first = event
+	return err
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/settings"
+)
+
+// Settings are what a gateway must know to start. All else lies in the store.
+type Settings struct {
+	// Host is the host's own name, unique in the fleet.
+	Host       string `json:"Host"`
+	Region     string `json:"Region"`
+	DataCentre string `json:"DataCentre"`
+	// DataCentres gives the region of every data centre.
+	DataCentres map[string]string `json:"DataCentres"`
+	// CallerAddress is where callers connect, as IP:port.
+	CallerAddress string `json:"CallerAddress"`
+	// ReadinessAddress is where the host says whether it takes calls.
+	ReadinessAddress string `json:"ReadinessAddress"`
+	// DirectoryAddress is where callers ask which hosts to use.
+	DirectoryAddress string `json:"DirectoryAddress"`
+	// PeerAddress is where other hosts connect, over TCP and UDP.
+	PeerAddress string `json:"PeerAddress"`
+	// SharePort is the UDP port, the same at all hosts, for what hosts tell one
+	// another of their load.
+	SharePort int `json:"SharePort"`
+	// MetricsAddress serves metrics and the state dump.
+	MetricsAddress string `json:"MetricsAddress"`
+	// StoreAddress is the platform's store.
+	StoreAddress string `json:"StoreAddress"`
+	// Seeds are the peer addresses of hosts to join through.
+	Seeds []string `json:"Seeds"`
+	// FleetKeys authenticate the hosts to each other; the first seals.
+	FleetKeys []string `json:"FleetKeys"`
+	// DrainSeconds bounds a graceful stop.
+	DrainSeconds float64 `json:"DrainSeconds"`
+	// RetryRatio and RetrySlack bound what all hosts send beyond the first send of
+	// each call, in any RetryWindowSeconds.
+	RetryRatio         float64 `json:"RetryRatio"`
+	RetrySlack         float64 `json:"RetrySlack"`
+	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
+	// DirectoryTTLSeconds is how long callers may keep an answer of the directory.
+	DirectoryTTLSeconds float64 `json:"DirectoryTTLSeconds"`
+	// LogLevel is 0 for the usual messages and 1 for more.
+	LogLevel int `json:"LogLevel,omitempty"`
+}
+
+// drainTime is the bound of a graceful stop.
+func (s Settings) drainTime() time.Duration {
+	return time.Duration(s.DrainSeconds * float64(time.Second))
+}
+
+func (s Settings) directoryTTL() time.Duration {
+	return time.Duration(s.DirectoryTTLSeconds * float64(time.Second))
+}
+
+// LoadSettings reads a settings file and returns every error in it. Unknown
+// fields are ignored, so that a file may say more than this version knows.
+func LoadSettings(path string) (Settings, error) {
+	const op = "load settings"
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, failure.Wrap(op, settings.Unreadable, err)
+	}
+	var s Settings
+	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&s); err != nil {
+		return Settings{}, failure.Wrap(op, settings.Malformed, err)
+	}
+	if problems := s.Check(); len(problems) > 0 {
+		return Settings{}, failure.Wrap(op, settings.Invalid, problems)
+	}
+	return s, nil
+}
+
+// Check returns every wrong setting.
+func (s Settings) Check() settings.Problems {
+	var problems settings.Problems
+	require := func(ok bool, name, format string, args ...any) {
+		if !ok {
+			problems = append(problems, settings.Problem{Field: name, Expected: fmt.Sprintf(format, args...)})
+		}
+	}
+	address := func(name, value string) {
+		host, _, err := net.SplitHostPort(value)
+		require(err == nil && net.ParseIP(host) != nil, name, "expected IP:port, got %q", value)
+	}
+	require(s.Host != "", "Host", "expected a name")
+	require(s.Region != "", "Region", "expected a name")
+	require(s.DataCentres[s.DataCentre] == s.Region, "DataCentres", "expected data centre %q in region %q", s.DataCentre, s.Region)
+	address("CallerAddress", s.CallerAddress)
+	address("ReadinessAddress", s.ReadinessAddress)
+	address("DirectoryAddress", s.DirectoryAddress)
+	address("PeerAddress", s.PeerAddress)
+	address("MetricsAddress", s.MetricsAddress)
+	address("StoreAddress", s.StoreAddress)
+	for i, seed := range s.Seeds {
+		address(fmt.Sprintf("Seeds[%d]", i), seed)
+	}
+	require(s.SharePort > 0 && s.SharePort < 1<<16, "SharePort", "expected a port, got %d", s.SharePort)
+	require(len(s.FleetKeys) > 0, "FleetKeys", "expected at least one key")
+	require(s.DrainSeconds > 0, "DrainSeconds", "expected positive seconds, got %g", s.DrainSeconds)
+	require(s.RetryRatio >= 0 && s.RetrySlack >= 0, "RetryRatio", "expected no negative figures")
+	require(s.RetryWindowSeconds > 0, "RetryWindowSeconds", "expected positive seconds, got %g", s.RetryWindowSeconds)
+	require(s.DirectoryTTLSeconds > 0, "DirectoryTTLSeconds", "expected positive seconds, got %g", s.DirectoryTTLSeconds)
+	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
+	return problems
+}
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -64,7 +64,7 @@
 	clock   clock.Clock
 	log     logr.Logger
 	fetch   Fetch
-	seeds   []string
+	seeds   atomic.Pointer[[]string]
 	onItem  func(bulletin.Item)
 	counts  *Counts
 	view    atomic.Pointer[View]
@@ -105,7 +105,9 @@
 func WithLogger(l logr.Logger) Option { return func(s *Service) { s.log = l } }
 
 // WithSeeds sets the peer addresses that the host joins through.
-func WithSeeds(addresses []string) Option { return func(s *Service) { s.seeds = addresses } }
+func WithSeeds(addresses []string) Option {
+	return func(s *Service) { s.SetSeeds(addresses) }
+}
 
 // WithFetch sets how all facts of another host are read.
 func WithFetch(fetch Fetch) Option { return func(s *Service) { s.fetch = fetch } }
@@ -123,6 +125,7 @@
 		asks: ring.New[chan []bulletin.Item](1), differs: ring.New[string](1), differing: map[string]time.Time{},
 		board: bulletin.NewBoard(maxItems),
 	}
+	s.SetSeeds(nil)
 	for _, option := range options {
 		option(s)
 	}
@@ -132,6 +135,9 @@
 	return s
 }
 
+// SetSeeds replaces the peer addresses that the host joins through.
+func (s *Service) SetSeeds(addresses []string) { s.seeds.Store(&addresses) }
+
 // View returns the newest view of the fleet.
 func (s *Service) View() *View { return s.view.Load() }
 
@@ -252,7 +258,7 @@
 		choices = far
 	}
 	if len(near)+len(far) == 0 || (len(near) == 0 && rand.IntN(2) == 0) {
-		choices = s.seeds
+		choices = *s.seeds.Load()
 	}
 	if len(choices) == 0 {
 		return "", false
@@ -350,7 +356,7 @@
 	for _, info := range s.table.All() {
 		known[info.PeerAddress] = true
 	}
-	for _, seed := range s.seeds {
+	for _, seed := range *s.seeds.Load() {
 		if !known[seed] {
 			s.send(seed, kindHeartbeat, []bulletin.Item{s.table.Self().Item()})
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Network is what a process sees of the network.
@@ -18,6 +21,9 @@
 const (
 	dialTimeout = time.Second
 	keepAlive   = 15 * time.Second
+	// unackedTimeout is how long sent bytes may stay without acknowledgement
+	// before the connection counts as dead, as behind a partition.
+	unackedTimeout = 2 * time.Second
 )
 
 // System is the machine's network, with connections opened from one local IP.
@@ -28,13 +34,25 @@
 // NewSystem returns the machine's network. An empty localIP leaves the choice
 // of the local address to the machine.
 func NewSystem(localIP string) *System {
-	s := &System{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}}
+	s := &System{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive, Control: limitUnacked}}
 	if ip := net.ParseIP(localIP); ip != nil {
 		s.dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return s
 }
 
+// limitUnacked sets the time after which a connection to a silent peer fails.
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // DialContext opens a TCP connection.
 func (s *System) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	return s.dialer.DialContext(ctx, network, address)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -99,10 +99,14 @@
 	if info.Stamp() <= t.self.Stamp() {
 		return false, nil
 	}
-	if info.Incarnation > t.self.Incarnation {
-		return false, nil // another process under our name; its operator must settle it
-	}
 	next := t.self
+	if info.Incarnation > next.Incarnation {
+		// An earlier process of this host started under a clock that was ahead.
+		next.Incarnation, next.Refutation = info.Incarnation+1, 0
+		t.setSelf(now, next)
+		item := t.self.Item()
+		return true, &item
+	}
 	next.Refutation = max(next.Refutation, info.Refutation)
 	t.setSelf(now, next.WithRefutation())
 	item := t.self.Item()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -27,10 +27,23 @@
 // Register collects evidence against digests. Its owner is one goroutine.
 type Register struct {
 	digests map[string]*evidence
+	deaths  int // that quarantine a digest
 }
 
+// Option changes a Register under construction.
+type Option func(*Register)
+
+// WithDeaths sets how many deaths of targets quarantine a digest.
+func WithDeaths(n int) Option { return func(r *Register) { r.deaths = n } }
+
 // NewRegister returns an empty Register.
-func NewRegister() *Register { return &Register{digests: map[string]*evidence{}} }
+func NewRegister(options ...Option) *Register {
+	r := &Register{digests: map[string]*evidence{}, deaths: deathsToQuarantine}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
 
 // Verdict is what a Register says of a digest.
 type Verdict int
@@ -70,7 +83,7 @@
 	switch {
 	case known == nil || now.Sub(known.at) > evidenceLifetime:
 		return Innocent
-	case len(known.deaths) >= deathsToQuarantine:
+	case len(known.deaths) >= r.deaths:
 		return Quarantined
 	default:
 		return Suspected
