internal/balance: send away a share of the work before a region is full

Pattern: antiphase peaks. Ruled out: first-token waits (p50 309 ms of an aim of 1,200).

A region uses half of its capacity and sends the rest where there is room, by figures that all regions know, calls with the same parts the same way. Targets are chosen by predicted time, the parts that they keep, and the streams that would stall.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -31,11 +31,74 @@
 	hosts   Hosts
 	cold    map[string]float64 // rate of cold targets by service
 	fresh   []PartNote         // not yet told to the other hosts
+	own     map[string]*serviceFlows
+	others  map[string]hostFlows // by host of the region
+}
+
+// hostFlows are the flows that another host told.
+type hostFlows struct {
+	flows map[string]Flows
+	at    time.Time
 }
 
 // NewBook returns an empty Book for a region.
 func NewBook(region string, seed uint64) *Book {
-	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{}}
+	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{},
+		own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
+}
+
+func (b *Book) flows(service string) *serviceFlows {
+	f := b.own[service]
+	if f == nil {
+		f = &serviceFlows{}
+		b.own[service] = f
+	}
+	return f
+}
+
+// regionFlows sums the flows of all hosts of the region.
+func (b *Book) regionFlows(now time.Time, service string) Flows {
+	sum := b.flows(service).now(now)
+	for _, o := range b.others {
+		if now.Sub(o.at) < shareAge {
+			sum = sum.plus(o.flows[service])
+		}
+	}
+	return sum
+}
+
+// Spilled counts a call that was sent away for want of capacity, Received one
+// that came for that reason.
+func (b *Book) Spilled(now time.Time, w Work) {
+	b.flows(w.Service).spilled.add(now, b.size(w))
+}
+
+// Received counts a call that came from another region for want of capacity.
+func (b *Book) Received(now time.Time, w Work) {
+	b.flows(w.Service).received.add(now, b.size(w))
+}
+
+// size is the work of a call before its target is known, in the units of the
+// flows: tokens to read, or milliseconds.
+func (b *Book) size(w Work) float64 {
+	if w.Tokens > 0 {
+		return float64(w.Tokens) * unreadShare
+	}
+	return milliseconds(initialSpan)
+}
+
+// unreadShare is the part of a prompt that targets usually have to read.
+const unreadShare = 0.7
+
+// Basin returns the region's demand and capacity for a service.
+func (b *Book) Basin(now time.Time, service string) Basin {
+	out := Basin{Region: b.region, Demand: b.regionFlows(now, service).Demand()}
+	for _, t := range b.targets {
+		if t.Service == service && b.usable(now, t) && !t.health.out(now) {
+			out.Capacity += t.capacity()
+		}
+	}
+	return out
 }
 
 // Configure takes the targets of a snapshot.
@@ -113,9 +176,15 @@
 	var best *target
 	var prediction Prediction
 	bestCost := time.Duration(0)
-	for _, t := range b.serving(now, w.Service, exclude) {
+	choices := b.serving(now, w.Service, exclude)
+	least := w.Tokens
+	for _, t := range choices {
+		least = min(least, t.unread(now, w))
+	}
+	for _, t := range choices {
 		p := t.predict(now, w)
-		cost := p.Total() + t.health.cost() + scale(fromMilliseconds(float64(p.shared)/t.effectiveRate(now)), rereadWeight)
+		again := fromMilliseconds(float64(p.Unread-least) / t.effectiveRate(now))
+		cost := p.Total() + t.health.cost() + scale(again, rereadWeight) + scale(stallCost, p.Stalled)
 		cost = b.jitter(cost, t, w)
 		if best == nil || cost < bestCost {
 			best, prediction, bestCost = t, p, cost
@@ -188,13 +257,15 @@
 		return nil
 	}
 	f := &Flight{target: t, work: w, began: now, ahead: t.backlog(now, w.Rank)}
-	f.unread, _ = t.unread(now, w)
+	f.unread = t.unread(now, w)
+	t.prompts = t.prompts || w.Tokens > 0
 	if len(t.flying) == 0 {
 		t.progressAt = now
 	}
 	t.flying[f] = struct{}{}
 	t.keep(now, w.Parts)
 	b.tell(id, w)
+	b.flows(t.Service).begun.add(now, t.amount(f))
 	if now.Before(t.ColdUntil) {
 		t.cold.spend(now, b.cold[t.Service])
 	}
@@ -253,6 +324,9 @@
 	Rate int `json:"Rate"`
 	// SpanMs is the time of a call without a prompt.
 	SpanMs int `json:"SpanMs"`
+	// Demand and Capacity are in units of work a second.
+	Demand   int `json:"Demand"`
+	Capacity int `json:"Capacity"`
 }
 
 // States returns what the region can do for each service.
@@ -265,12 +339,12 @@
 	}
 	out := map[string]ServiceState{}
 	for name, list := range services {
-		out[name] = state(now, list)
+		out[name] = b.state(now, list)
 	}
 	return out
 }
 
-func state(now time.Time, list []*target) ServiceState {
+func (b *Book) state(now time.Time, list []*target) ServiceState {
 	s := ServiceState{Targets: len(list)}
 	var spans time.Duration
 	rate := 0.0
@@ -286,6 +360,8 @@
 		slices.Sort(waits)
 		s.WaitMs[rank] = int(waits[(len(waits)-1)/3].Milliseconds())
 	}
+	basin := b.Basin(now, list[0].Service)
+	s.Demand, s.Capacity = int(basin.Demand), int(basin.Capacity)
 	s.Rate = int(rate)
 	s.SpanMs = int((spans / time.Duration(len(list))).Milliseconds())
 	return s
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -37,6 +37,9 @@
 	Here  bool
 	// Away are the other regions that may be asked.
 	Away []Away
+	// Spill are the shares of the work that go to other regions, by region.
+	Spill map[string]float64
+	Work  Work
 	// Aim is the time to the first byte that is still good; Left is the time
 	// until the caller gives up.
 	Aim  time.Duration
@@ -55,6 +58,8 @@
 	// RetryAfter is when a refused caller is to come back.
 	RetryAfter time.Duration
 	Reason     string
+	// Spilled tells that the call goes away for want of capacity at home.
+	Spilled bool
 }
 
 // Decide returns where a call goes. A call stays at home while it is expected to
@@ -67,7 +72,10 @@
 	}
 	limit = min(limit, q.Left)
 	away, found := nearest(q.Away)
+	spill, spilled := spillTo(q.Spill, q.Away, q.Work)
 	switch {
+	case q.Here && spilled && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
+		return Answer{Region: spill.Region, Reason: "the region's share for another one", Spilled: true}
 	case q.Here && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
 		return Answer{Local: true, Reason: "in good time"}
 	case found && away.Wait <= limit && away.Total() < q.Left && (!q.Here || away.Total()+awayGain < q.Local.Prediction.Total()):
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -103,6 +103,19 @@
 	return out
 }
 
+// Basins returns the demand and capacity of the given regions for a service, as
+// far as they were told lately.
+func (r *Regions) Basins(now time.Time, options []Away, service string) []Basin {
+	var out []Basin
+	for _, a := range options {
+		v := r.view(a.Region)
+		if s, ok := v.services[service]; ok && now.Sub(v.at) <= stateAge {
+			out = append(out, Basin{Region: a.Region, Demand: float64(s.Demand), Capacity: float64(s.Capacity)})
+		}
+	}
+	return out
+}
+
 func (v *regionView) away(now time.Time, region string, s ServiceState, w Work) Away {
 	a := Away{Region: region, Trip: v.trip, Wait: time.Duration(s.WaitMs[min(w.Rank, 1)]) * time.Millisecond}
 	tokens := 0
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -32,6 +33,7 @@
 type Share struct {
 	Targets map[string]TargetShare `json:"Targets"`
 	Parts   []PartNote             `json:"Parts,omitempty"`
+	Flows   map[string]Flows       `json:"Flows,omitempty"`
 }
 
 // maxNotes bounds the parts that are told in one share.
@@ -52,9 +54,12 @@
 
 // Share returns what the host tells the others of its region, and forgets the
 // parts that it told.
-func (b *Book) Share() Share {
-	s := Share{Targets: map[string]TargetShare{}, Parts: b.fresh}
+func (b *Book) Share(now time.Time) Share {
+	s := Share{Targets: map[string]TargetShare{}, Parts: b.fresh, Flows: map[string]Flows{}}
 	b.fresh = nil
+	for service, flows := range b.own {
+		s.Flows[service] = flows.now(now).rounded()
+	}
 	for id, t := range b.targets {
 		if len(t.flying) == 0 {
 			continue
@@ -79,6 +84,7 @@
 			delete(t.shares, host)
 		}
 	}
+	b.others[host] = hostFlows{flows: s.Flows, at: now}
 	for _, note := range s.Parts {
 		if t := b.targets[note.Target]; t != nil && len(t.parts) < maxParts {
 			t.parts[note.Part] = now
@@ -88,11 +94,17 @@
 
 // Forget drops the share of a host that is no longer there.
 func (b *Book) Forget(host string) {
+	delete(b.others, host)
 	for _, t := range b.targets {
 		delete(t.shares, host)
 	}
 }
 
+// rounded drops the fractions, which nobody needs to be told.
+func (f Flows) rounded() Flows {
+	return Flows{Begun: math.Round(f.Begun), Spilled: math.Round(f.Spilled), Received: math.Round(f.Received)}
+}
+
 // TargetDump is what a host believes of a target, for people.
 type TargetDump struct {
 	ID        string
--- /dev/null
+++ b/internal/balance/spill.go
@@ -0,0 +1,107 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// spillLevel is the part of its targets' capacity that a region uses before it
+// sends work away. Beyond it, prompts that are read hold up the streams that run
+// beside them.
+const spillLevel = 0.5
+
+// Flows are what one host, or the hosts of a region together, do for a service,
+// in units of work a second.
+type Flows struct {
+	// Begun is what targets of the region were given.
+	Begun float64 `json:"G"`
+	// Spilled is what was sent away for want of capacity.
+	Spilled float64 `json:"S"`
+	// Received is what other regions sent here for want of capacity.
+	Received float64 `json:"R"`
+}
+
+// Demand is the work that the region's own callers bring.
+func (f Flows) Demand() float64 { return max(0, f.Begun+f.Spilled-f.Received) }
+
+func (f Flows) plus(o Flows) Flows {
+	return Flows{Begun: f.Begun + o.Begun, Spilled: f.Spilled + o.Spilled, Received: f.Received + o.Received}
+}
+
+// Basin is a region's demand and capacity for a service.
+type Basin struct {
+	Region   string
+	Demand   float64
+	Capacity float64
+}
+
+// Spill returns the shares of the home region's work that go to other regions,
+// by region. All regions that know the same figures come to shares that fit
+// together: what overflows somewhere fills what is free elsewhere, up to a level
+// that is the same everywhere.
+func Spill(home Basin, others []Basin) map[string]float64 {
+	demand, capacity := home.Demand, home.Capacity
+	for _, b := range others {
+		demand += b.Demand
+		capacity += b.Capacity
+	}
+	if capacity <= 0 || home.Demand <= 0 {
+		return nil
+	}
+	level := max(spillLevel, demand/capacity)
+	over := max(0, home.Demand-level*home.Capacity)
+	free := 0.0
+	for _, b := range others {
+		free += max(0, level*b.Capacity-b.Demand)
+	}
+	if over <= 0 || free <= 0 {
+		return nil
+	}
+	out := map[string]float64{}
+	for _, b := range others {
+		if room := level*b.Capacity - b.Demand; room > 0 {
+			out[b.Region] = min(1, over/home.Demand) * room / free
+		}
+	}
+	return out
+}
+
+// spillTo returns the region that a call goes to by the shares, or none. Calls
+// that share parts go the same way, so that what targets keep of them is used.
+func spillTo(shares map[string]float64, regions []Away, w Work) (Away, bool) {
+	at := float64(spillKey(w)%spillSteps) / spillSteps
+	for _, a := range regions {
+		if at < shares[a.Region] {
+			return a, true
+		}
+		at -= shares[a.Region]
+	}
+	return Away{}, false
+}
+
+// spillSteps is how finely calls are divided between regions.
+const spillSteps = 4096
+
+func spillKey(w Work) uint64 {
+	if len(w.Parts) > 1 {
+		return xxhash.Sum64String("spill") ^ mix(w.Parts[len(w.Parts)-2].ID)
+	}
+	return mix(xxhash.Sum64String(w.Key))
+}
+
+// mix spreads an ID over all bits.
+func mix(id uint64) uint64 {
+	id ^= id >> 33
+	id *= 0xff51afd7ed558ccd
+	id ^= id >> 33
+	id *= 0xc4ceb9fe1a85ec53
+	return id ^ id>>33
+}
+
+// serviceFlows are the flows of one host for a service.
+type serviceFlows struct{ begun, spilled, received flow }
+
+func (s *serviceFlows) now(now time.Time) Flows {
+	return Flows{Begun: s.begun.rate(now), Spilled: s.spilled.rate(now), Received: s.received.rate(now)}
+}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -21,6 +21,7 @@
 	parts      map[uint64]time.Time
 	health     health
 	cold       coldBudget
+	prompts    bool // the target reads prompts
 }
 
 // hostShare is what another host has at a target.
@@ -87,22 +88,16 @@
 func (t *target) effectiveRate(now time.Time) float64 { return t.rate / t.slowdown(now) }
 
 // unread counts the tokens of a prompt that the target has to read: all after the
-// first part that it does not keep. shared counts those that other calls share.
-func (t *target) unread(now time.Time, w Work) (tokens, shared int) {
-	if len(w.Parts) == 0 {
-		return w.Tokens, 0
-	}
-	for i, p := range w.Parts {
-		used, kept := t.parts[p.ID]
-		if kept && now.Sub(used) < partAge && tokens == 0 {
-			continue
-		}
-		tokens += p.Tokens
-		if i < len(w.Parts)-1 {
-			shared += p.Tokens
+// parts that it keeps.
+func (t *target) unread(now time.Time, w Work) int {
+	tokens := w.Tokens
+	for _, p := range w.Parts {
+		if used, kept := t.parts[p.ID]; !kept || now.Sub(used) > partAge {
+			break
 		}
+		tokens -= p.Tokens
 	}
-	return tokens, shared
+	return max(0, tokens)
 }
 
 // keep notes that the target has read the parts.
@@ -121,6 +116,16 @@
 	}
 }
 
+// stall is the share of the streams at a target that pause for too long when it
+// reads the given tokens without a break.
+func (t *target) stall(now time.Time, w Work, tokens float64) float64 {
+	if w.Gap == 0 {
+		return 0
+	}
+	full := milliseconds(w.Gap) * t.effectiveRate(now)
+	return min(1, max(0, (tokens/full-stallFrom)/(stallFull-stallFrom)))
+}
+
 // Prediction is the expected time to the first byte at a target.
 type Prediction struct {
 	// Wait passes before the target begins with the call.
@@ -129,7 +134,8 @@
 	Own time.Duration
 	// Unread is the tokens of the prompt that the target reads.
 	Unread int
-	shared int
+	// Stalled is how many streams are expected to pause for too long.
+	Stalled float64
 }
 
 // Total is the time to the first byte.
@@ -144,14 +150,15 @@
 		return Prediction{Wait: span * time.Duration(over) / time.Duration(max(1, t.Slots)), Own: span}
 	}
 	rate := t.effectiveRate(now)
-	unread, shared := t.unread(now, w)
-	wait := t.backlog(now, w.Rank) / rate
+	unread := t.unread(now, w)
+	backlog := t.backlog(now, w.Rank)
+	wait := backlog / rate
 	if over > 0 {
 		wait += float64(over) * milliseconds(t.span) / float64(max(1, t.Slots))
 	}
 	return Prediction{
 		Wait: fromMilliseconds(wait), Own: baseSpan + fromMilliseconds(float64(unread)/rate),
-		Unread: unread, shared: shared,
+		Unread: unread, Stalled: t.stall(now, w, backlog+float64(unread)) * float64(flights+1),
 	}
 }
 
@@ -179,3 +186,19 @@
 func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// amount is the work of a call that was begun, in units of the flows.
+func (t *target) amount(f *Flight) float64 {
+	if f.work.Tokens > 0 {
+		return float64(f.unread)
+	}
+	return milliseconds(t.span)
+}
+
+// capacity is the units of work that the target does in a second.
+func (t *target) capacity() float64 {
+	if t.prompts {
+		return t.rate * milliseconds(time.Second)
+	}
+	return float64(max(1, t.Slots)) * milliseconds(time.Second)
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -20,6 +20,11 @@
 	Tokens int
 	// Parts are the pieces of the prompt in order.
 	Parts []Part
+	// Gap is the longest pause between two events that is still good, zero for
+	// calls that are no streams.
+	Gap time.Duration
+	// Key differs from call to call.
+	Key string
 }
 
 // Load is what a target says of itself with an answer.
@@ -43,7 +48,7 @@
 	// learnShare is the weight of a new sample in a mean.
 	learnShare = 0.1
 	// minSampleTokens is the shortest prompt that says something of the rate.
-	minSampleTokens = 500
+	minSampleTokens = 2500
 	minRate         = 2.0
 	maxRate         = 400.0
 	// loadAge is how long a target's own report of its load is believed.
@@ -54,7 +59,14 @@
 	partAge = 30 * time.Second
 	// maxParts bounds the parts that are remembered for a target.
 	maxParts = 4096
-	// rereadWeight is what reading a shared part once more costs beyond its time,
-	// as a share of that time.
-	rereadWeight = 0.5
+	// rereadWeight is what reading a part once more costs that another target
+	// keeps, beyond its time and in multiples of it.
+	rereadWeight = 5.0
+	// stallCost is what a pause that is too long costs for each stream that runs
+	// at the target, as a predicted time.
+	stallCost = 600 * time.Millisecond
+	// stallFrom and stallFull are the parts of what a target reads in the longest
+	// good pause at which streams begin to stall, and surely do.
+	stallFrom = 0.5
+	stallFull = 1.0
 )
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,8 +30,9 @@
 	cancel   context.CancelFunc
 	request  *fasthttp.Request // as it came, without what callers may not set
 
-	sends   int // that may have run
-	refused int // sends that were refused without running
+	spilled bool // goes away for want of capacity at home
+	sends   int  // that may have run
+	refused int  // sends that were refused without running
 	tried   []string
 	away    []string // regions that were asked
 	notes   []string // what was decided and what came of it, for the log
@@ -130,10 +131,18 @@
 	if f.route.MayServe(f.g.settings.Region) {
 		q.Local, q.Here = f.g.book.Choose(now, f.work, f.tried)
 	}
+	q.Work = f.work
 	if !f.received {
 		q.Away = f.g.regions.Options(now, regions, f.work, !q.Here)
 	}
+	if q.Here && len(q.Away) > 0 {
+		q.Spill = balance.Spill(f.g.book.Basin(now, f.service), f.g.regions.Basins(now, q.Away, f.service))
+	}
 	answer := balance.Decide(q)
+	if answer.Spilled {
+		f.g.book.Spilled(now, f.work)
+	}
+	f.spilled = answer.Spilled
 	f.logDecision(q, answer)
 	return answer, q.Local
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -23,6 +23,7 @@
 	headerTook      = "Gateway-Took-Ms"
 	headerTarget    = "Gateway-Target"
 	headerReason    = "Gateway-Reason"
+	headerSpilled   = "Gateway-Spilled"
 	headerLastEvent = "Gateway-Last-Event"
 	headerPrefix    = "Gateway-"
 )
@@ -62,6 +63,9 @@
 	h.Set(headerSends, strconv.Itoa(f.sends))
 	h.Set(core.HeaderPassed, core.Passed(nil).With(f.g.settings.Region, f.g.settings.Host).String())
 	h.Set(core.HeaderVersion, strconv.FormatUint(f.version, 10))
+	if f.spilled {
+		h.Set(headerSpilled, "1")
+	}
 	if f.call.LastEvent != "" {
 		h.Set(headerLastEvent, f.call.LastEvent)
 	}
@@ -183,6 +187,11 @@
 	if last := string(h.Peek(headerLastEvent)); last != "" {
 		f.call.LastEvent = last
 	}
+	if len(h.Peek(headerSpilled)) > 0 {
+		g.mu.Lock()
+		g.book.Received(g.clock.Now(), f.work)
+		g.mu.Unlock()
+	}
 	g.serveFlight(ctx, f)
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -54,7 +54,7 @@
 		g: g, call: call, route: r, service: r.Pick(call.ID), version: table.Version(), received: received,
 		began: now, arrival: now, deadline: now.Add(timeout(call, r)), request: &ctx.Request,
 	}
-	f.work = balance.Work{Service: f.service, Rank: r.Rank, Tokens: call.Tokens, Parts: call.Parts}
+	f.work = balance.Work{Service: f.service, Rank: r.Rank, Tokens: call.Tokens, Parts: call.Parts, Gap: r.MaxGap, Key: call.ID}
 	f.digest = g.sealer.Digest(ctx.Request.Header.Method(), []byte(call.Host), []byte(call.Target), ctx.Request.Body())
 	return f
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -76,7 +76,7 @@
 	g.counter++
 	m := shareMessage{Host: g.settings.Host, Region: g.settings.Region, Incarnation: g.started.UnixMilli(), Counter: g.counter}
 	g.mu.Lock()
-	share := g.book.Share()
+	share := g.book.Share(g.clock.Now())
 	states := g.book.States(g.clock.Now())
 	g.mu.Unlock()
 	m.Share = &share
