internal/gateway: let callers of a leaving host go before it stops

A call from another host is sent at most once now. - LOST after SIGTERM: calls taken in the fifth second could not end in the eighth. The listener closes after 2.5 s, and the directory's answers live 1 s. - LOST beside a change: a stream was given up for its silence, and no other target took it. A send is given up only when another target can have the call.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -47,6 +47,12 @@
 	b.tokens = min(b.tokens+b.ratio, b.cap())
 }
 
+// Left returns how many sends may go out.
+func (b *RetryBudget) Left(now time.Time) float64 {
+	b.refill(now)
+	return b.tokens
+}
+
 // Spend reports whether one more send may go out, and counts it.
 func (b *RetryBudget) Spend(now time.Time) bool {
 	b.refill(now)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -125,6 +125,9 @@
 		Aim: max(0, f.route.Aim-now.Sub(f.began)), Left: left,
 		Typical: f.g.typical(f.route.Name), Spread: f.g.random(),
 	}
+	if f.maybe {
+		q.Aim = 0 // late as it is, any answer counts
+	}
 	regions := f.allowedAway()
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,7 +19,6 @@
 const (
 	headerLeft      = "Gateway-Left-Ms"
 	headerAge       = "Gateway-Age-Ms"
-	headerSends     = "Gateway-Sends"
 	headerTook      = "Gateway-Took-Ms"
 	headerTarget    = "Gateway-Target"
 	headerReason    = "Gateway-Reason"
@@ -40,7 +39,7 @@
 	f.g.mu.Lock()
 	f.g.regions.Sent(f.g.clock.Now(), region, f.work)
 	f.g.mu.Unlock()
-	t := f.newTry(f.left())
+	t := f.newTry(f.left(), "")
 	request := f.prepareAway()
 	defer fasthttp.ReleaseRequest(request)
 	began := f.g.clock.Now()
@@ -60,7 +59,6 @@
 	h := &request.Header
 	h.Set(headerLeft, strconv.FormatInt(f.left().Milliseconds(), 10))
 	h.Set(headerAge, strconv.FormatInt(f.g.clock.Now().Sub(f.began).Milliseconds(), 10))
-	h.Set(headerSends, strconv.Itoa(f.sends))
 	h.Set(core.HeaderPassed, core.Passed(nil).With(f.g.settings.Region, f.g.settings.Host).String())
 	h.Set(core.HeaderVersion, strconv.FormatUint(f.version, 10))
 	if f.spilled {
@@ -105,7 +103,7 @@
 			f.g.refusedBy(region, f.service)
 			return nil, result{outcome: outcome, reason: reason}
 		}
-		f.sends = max(f.sends+1, atoi(response.Get(headerSends)))
+		f.sends++
 		return nil, result{outcome: outcome, reason: reason}
 	}
 	f.sends++
@@ -179,7 +177,6 @@
 		g.refuseReceived(ctx, "the host has an older configuration than the sender")
 		return
 	}
-	f.sends = atoi(string(h.Peek(headerSends)))
 	f.began = f.began.Add(-time.Duration(atoi(string(h.Peek(headerAge)))) * time.Millisecond)
 	if left := atoi(string(h.Peek(headerLeft))); left > 0 {
 		f.deadline = g.clock.Now().Add(time.Duration(left) * time.Millisecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,9 +46,8 @@
 	idleTimeout   = 90 * time.Second
 	headerTimeout = 30 * time.Second
 	// noticeTime is how long a leaving host goes on taking calls, so that callers
-	// learn of other hosts: three times the life of an answer of the directory
-	// is what slow ones take.
-	noticeTime = 5 * time.Second
+	// learn of other hosts. What it takes later may not end before the host must.
+	noticeTime = 2500 * time.Millisecond
 	// idleCheck is the pause between two looks for running calls of a leaving host.
 	idleCheck = 20 * time.Millisecond
 	// stopMargin is kept of the time to stop for the end of the process itself.
@@ -257,20 +256,22 @@
 	return errors.Wrap(err, s.name)
 }
 
-// Drain stops the host gracefully: it leaves the directory at once, goes on
-// serving those that come all the same, and ends Run when no call runs any more.
+// Drain stops the host gracefully: it leaves the directory at once, goes on for a
+// while to serve those that come all the same, takes no more connections, and ends
+// Run when no call runs any more.
 func (g *Gateway) Drain() {
 	g.log.Info("The host is leaving.", "InFlight", g.inFlight.Load())
 	g.leaving.Store(true)
 	g.gossip.Leave()
 	began := g.clock.Now()
-	limit := g.settings.drainTime() - stopMargin
-	for {
+	<-g.clock.After(noticeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), g.settings.drainTime()-noticeTime-stopMargin)
+	defer cancel()
+	if err := g.servers[0].server.ShutdownWithContext(ctx); err != nil {
+		g.log.Error(err, "Calls still run at the end of the time to stop.")
+	}
+	for g.inFlight.Load() > 0 && g.clock.Now().Sub(began) < g.settings.drainTime()-stopMargin {
 		<-g.clock.After(idleCheck)
-		spent := g.clock.Now().Sub(began)
-		if spent >= limit || (spent >= noticeTime && g.inFlight.Load() == 0) {
-			break
-		}
 	}
 	g.log.Info("The host stops.", "InFlight", g.inFlight.Load())
 	g.stop()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -94,7 +94,6 @@
 	answer := f.run()
 	if f.received {
 		h := &ctx.Response.Header
-		h.Set(headerSends, strconv.Itoa(f.sends))
 		h.Set(headerTook, strconv.FormatInt(g.clock.Now().Sub(f.arrival).Milliseconds(), 10))
 	}
 	if answer.source == nil {
@@ -145,10 +144,9 @@
 	if f.received {
 		h.Set(core.HeaderOutcome, core.Run.String())
 		h.Set(headerTarget, s.target)
-		h.Set(headerSends, strconv.Itoa(f.sends))
 		h.Set(headerTook, strconv.FormatInt(f.g.clock.Now().Sub(f.arrival).Milliseconds(), 10))
 	} else {
-		for _, name := range []string{core.HeaderOutcome, headerTarget, headerSends, headerTook, headerReason} {
+		for _, name := range []string{core.HeaderOutcome, headerTarget, headerTook, headerReason} {
 			h.Del(name)
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,7 +35,7 @@
 func signedParts(request *fasthttp.Request) [][]byte {
 	h := &request.Header
 	return [][]byte{
-		h.Method(), h.RequestURI(), h.Peek(headerLeft), h.Peek(headerAge), h.Peek(headerSends), h.Peek(headerLastEvent),
+		h.Method(), h.RequestURI(), h.Peek(headerLeft), h.Peek(headerAge), h.Peek(headerSpilled), h.Peek(headerLastEvent),
 		h.Peek(core.HeaderPassed), h.Peek(core.HeaderVersion), request.Body(),
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -20,8 +21,9 @@
 	// waits for the first byte of a target: a multiple of what was predicted.
 	patienceFactor = 3
 	minPatience    = 400 * time.Millisecond
-	// lastTryShare is the part of the time left that is kept for a second target.
-	lastTryShare = 0.4
+	// lastTryShare is the part of the time left within which a second target must
+	// be expected to answer.
+	lastTryShare = 0.5
 )
 
 // source is an answer that is being read: whole, or up to its first event.
@@ -42,24 +44,55 @@
 	handle *balance.Flight // nil for a send to another region
 	ctx    context.Context
 	cancel context.CancelFunc
-	timer  *time.Timer // ends the patience, nil when there is none
+	// timer ends the patience; it is nil when there is none.
+	timer    *time.Timer
+	patience time.Duration
+	exclude  []string // targets that are no way out
 }
 
-// newTry begins a send. A call that may be repeated leaves time for a second
-// target; any other waits for as long as its caller does.
-func (f *flight) newTry(predicted time.Duration) *try {
-	t := &try{f: f}
+// newTry begins a send. One that may be repeated is given up when the answer
+// takes too long and another target can have the call; any other waits for as long
+// as its caller does.
+func (f *flight) newTry(predicted time.Duration, id string) *try {
+	t := &try{f: f, exclude: append(slices.Clone(f.tried), id)}
 	t.ctx, t.cancel = context.WithCancel(f.ctx)
-	if f.route.Repeatable() && f.sends+1 < f.route.MaxAttempts {
-		wait := max(minPatience, patienceFactor*predicted, f.route.Aim)
-		t.timer = time.AfterFunc(min(wait, time.Duration((1-lastTryShare)*float64(f.left()))), t.cancel)
+	if !f.received && f.route.Repeatable() && f.sends+1 < f.route.MaxAttempts {
+		t.patience = max(minPatience, patienceFactor*predicted, f.route.Aim)
+		t.timer = time.AfterFunc(t.patience, t.lookElsewhere)
 	}
 	return t
 }
 
+// lookElsewhere ends the send if another target can have the call in time, and
+// waits on if none can: silence alone is no reason to end an answer.
+func (t *try) lookElsewhere() {
+	if t.f.couldGo(t.exclude) {
+		t.cancel()
+		return
+	}
+	t.timer.Reset(t.patience)
+}
+
+// couldGo reports whether a target that is not excluded is expected to bring the
+// first byte well within the time left, and a repeat is within the budget.
+func (f *flight) couldGo(exclude []string) bool {
+	if !f.route.MayServe(f.g.settings.Region) {
+		return false
+	}
+	now := f.g.clock.Now()
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	choice, ok := f.g.book.Choose(now, f.work, exclude)
+	return ok && !contains(exclude, choice.Target.ID) && f.g.budget(f.service).Left(now) >= 1 &&
+		choice.Prediction.Total() < scale(f.left(), lastTryShare)
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
 // expect restarts the patience for the next event of a stream.
 func (t *try) expect(d time.Duration) {
 	if t.timer != nil {
+		t.patience = d
 		t.timer.Reset(d)
 	}
 }
@@ -102,7 +135,7 @@
 	if !f.countSend() {
 		return nil, result{outcome: f.outcomeSoFar(), reason: "the budget for repeats is spent", last: true}
 	}
-	t := f.newTry(choice.Prediction.Total())
+	t := f.newTry(choice.Prediction.Total(), target.ID)
 	t.choice = choice
 	f.g.mu.Lock()
 	t.handle = f.g.book.Begin(f.g.clock.Now(), target.ID, f.work)
@@ -243,9 +276,10 @@
 	return result{outcome: core.NotRun, reason: "a target refuses the call"}
 }
 
-// worthRepeating reports whether a target's failure may be met by another send.
+// worthRepeating reports whether a failure may be met by another send. A call from
+// another host is sent at most once: that host counts the sends of all.
 func (f *flight) worthRepeating() bool {
-	return f.route.Repeatable() && f.sends < f.route.MaxAttempts && f.ctx.Err() == nil
+	return !f.received && f.route.Repeatable() && f.sends < f.route.MaxAttempts && f.ctx.Err() == nil
 }
 
 // begin reads a whole body, or a stream up to its first event.
