--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -31,6 +31,7 @@
 	hosts   Hosts
 	cold    map[string]float64 // rate of cold targets by service
 	fresh   []PartNote         // not yet told to the other hosts
+	paces   map[string]*pace
 	own     map[string]*serviceFlows
 	others  map[string]hostFlows // by host of the region
 }
@@ -44,7 +45,16 @@
 // NewBook returns an empty Book for a region.
 func NewBook(region string, seed uint64) *Book {
 	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{},
-		own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
+		paces: map[string]*pace{}, own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
+}
+
+func (b *Book) pace(service string) *pace {
+	p := b.paces[service]
+	if p == nil {
+		p = &pace{rate: initialRate}
+		b.paces[service] = p
+	}
+	return p
 }
 
 func (b *Book) flows(service string) *serviceFlows {
@@ -110,7 +120,7 @@
 		known := b.targets[id]
 		switch {
 		case known == nil:
-			b.targets[id] = newTarget(t)
+			b.targets[id] = newTarget(t, b.pace(t.Service))
 		case known.Incarnation != t.Incarnation:
 			known.restart(t)
 		default:
@@ -168,6 +178,8 @@
 type Choice struct {
 	Target     catalogue.Target
 	Prediction Prediction
+	// Busy is the part of their time that the service's targets read prompts.
+	Busy float64
 }
 
 // Choose returns the target with the lowest predicted time, or false when none
@@ -178,7 +190,9 @@
 	bestCost := time.Duration(0)
 	choices := b.serving(now, w.Service, exclude)
 	least := w.Tokens
+	busy := 0.0
 	for _, t := range choices {
+		busy += t.busy(now) / float64(len(choices))
 		least = min(least, t.unread(now, w))
 	}
 	for _, t := range choices {
@@ -193,7 +207,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: best.Target, Prediction: prediction}, true
+	return Choice{Target: best.Target, Prediction: prediction, Busy: busy}, true
 }
 
 const (
@@ -266,6 +280,7 @@
 	t.keep(now, w.Parts)
 	b.tell(id, w)
 	b.flows(t.Service).begun.add(now, t.amount(f))
+	t.reads.add(now, float64(f.unread))
 	if now.Before(t.ColdUntil) {
 		t.cold.spend(now, b.cold[t.Service])
 	}
@@ -324,6 +339,9 @@
 	Rate int `json:"Rate"`
 	// SpanMs is the time of a call without a prompt.
 	SpanMs int `json:"SpanMs"`
+	// Busy is the part of their time, in hundredths, that the less busy half of the
+	// targets read prompts at most.
+	Busy int `json:"Busy"`
 	// Demand and Capacity are in units of work a second.
 	Demand   int `json:"Demand"`
 	Capacity int `json:"Capacity"`
@@ -352,6 +370,16 @@
 		spans += t.span
 		rate += t.effectiveRate(now)
 	}
+	busy := make([]float64, 0, len(list))
+	for _, t := range list {
+		if t.prompts {
+			busy = append(busy, t.busy(now))
+		}
+	}
+	if len(busy) > 0 {
+		slices.Sort(busy)
+		s.Busy = int(100 * busy[(len(busy)-1)/2])
+	}
 	for rank := range s.WaitMs {
 		waits := make([]time.Duration, 0, len(list))
 		for _, t := range list {
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -12,11 +12,23 @@
 	awayGain = 40 * time.Millisecond
 	// minWaitShare is the part of the aim that a call may always wait.
 	minWaitShare = 0.3
-	// minRetryAfter and retrySpread set when a refused caller is to return.
+	// minRetryAfter is the least time after which a refused caller is to return.
 	minRetryAfter = 150 * time.Millisecond
-	retrySpread   = 400 * time.Millisecond
+	// returnShare is the part of its time left over which refused callers are told
+	// to come back.
+	returnShare = 0.25
 )
 
+// MaxBusy is the part of their time that a region's targets may read prompts when
+// one more call of the rank comes. Beyond it the streams that run there would not
+// end in time: the rest is what they go on in. More urgent calls find some room kept.
+func MaxBusy(rank int) float64 {
+	if rank == 0 {
+		return 0.95
+	}
+	return 0.8
+}
+
 // Away is another region that may serve a call.
 type Away struct {
 	Region string
@@ -25,6 +37,8 @@
 	Own  time.Duration
 	// Trip is the time there and back.
 	Trip time.Duration
+	// Busy is the part of their time that targets there read prompts.
+	Busy float64
 }
 
 // Total is the predicted time to the first byte.
@@ -72,18 +86,21 @@
 	}
 	limit = min(limit, q.Left)
 	away, found := nearest(q.Away)
+	full := q.Here && q.Local.Busy > MaxBusy(q.Work.Rank)
 	spill, spilled := spillTo(q.Spill, q.Away, q.Work)
 	switch {
-	case q.Here && spilled && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
+	case q.Here && spilled && spill.Busy <= MaxBusy(q.Work.Rank) && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
 		return Answer{Region: spill.Region, Reason: "the region's share for another one", Spilled: true}
-	case q.Here && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
+	case q.Here && !full && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
 		return Answer{Local: true, Reason: "in good time"}
-	case found && away.Wait <= limit && away.Total() < q.Left && (!q.Here || away.Total()+awayGain < q.Local.Prediction.Total()):
+	case found && away.Busy <= MaxBusy(q.Work.Rank) && away.Wait <= limit && away.Total() < q.Left && (!q.Here || full || away.Total()+awayGain < q.Local.Prediction.Total()):
 		return Answer{Region: away.Region, Reason: "sooner in another region"}
-	case q.Here && q.Local.Prediction.Wait <= limit:
+	case q.Here && !full && q.Local.Prediction.Wait <= limit:
 		return Answer{Local: true, Reason: "within the wait that is allowed"}
 	case !q.Here && !found:
 		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
+	case full:
+		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the targets are busy with prompts"}
 	default:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the wait is too long"}
 	}
@@ -105,5 +122,5 @@
 	if q.Here {
 		over = max(0, q.Local.Prediction.Wait-limit/2)
 	}
-	return minRetryAfter + over + scale(retrySpread, q.Spread)
+	return minRetryAfter + over + scale(q.Left, returnShare*q.Spread)
 }
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -14,6 +14,8 @@
 	Flights int `json:"F"`
 	// Backlog are the tokens of prompts without a first event, by rank.
 	Backlog [ranksTold]int `json:"B"`
+	// Reads are the tokens a second that the host gives it to read.
+	Reads int `json:"R,omitempty"`
 }
 
 func (s TargetShare) backlog(rank int) int {
@@ -34,6 +36,8 @@
 	Targets map[string]TargetShare `json:"Targets"`
 	Parts   []PartNote             `json:"Parts,omitempty"`
 	Flows   map[string]Flows       `json:"Flows,omitempty"`
+	// Paces are the prompt tokens that targets read in a millisecond, by service.
+	Paces map[string]float64 `json:"Paces,omitempty"`
 }
 
 // maxNotes bounds the parts that are told in one share.
@@ -57,14 +61,15 @@
 func (b *Book) Share(now time.Time) Share {
 	s := Share{Targets: map[string]TargetShare{}, Parts: b.fresh, Flows: map[string]Flows{}}
 	b.fresh = nil
+	s.Paces = b.tellPaces()
 	for service, flows := range b.own {
 		s.Flows[service] = flows.now(now).rounded()
 	}
 	for id, t := range b.targets {
-		if len(t.flying) == 0 {
+		share := TargetShare{Flights: len(t.flying), Reads: int(t.reads.rate(now))}
+		if share.Flights == 0 && share.Reads == 0 {
 			continue
 		}
-		share := TargetShare{Flights: len(t.flying)}
 		for f := range t.flying {
 			if !f.first {
 				share.Backlog[min(f.work.Rank, ranksTold-1)] += f.unread
@@ -75,6 +80,16 @@
 	return s
 }
 
+func (b *Book) tellPaces() map[string]float64 {
+	out := map[string]float64{}
+	for service, p := range b.paces {
+		if p.samples >= trustedSamples {
+			out[service] = math.Round(p.rate)
+		}
+	}
+	return out
+}
+
 // Merge takes the share of another host.
 func (b *Book) Merge(now time.Time, host string, s Share) {
 	for id, t := range b.targets {
@@ -84,6 +99,11 @@
 			delete(t.shares, host)
 		}
 	}
+	for service, rate := range s.Paces {
+		if p := b.pace(service); p.samples < trustedSamples {
+			p.rate = min(max(rate, minRate), maxRate)
+		}
+	}
 	b.others[host] = hostFlows{flows: s.Flows, at: now}
 	for _, note := range s.Parts {
 		if t := b.targets[note.Target]; t != nil && len(t.parts) < maxParts {
@@ -127,7 +147,7 @@
 		out = append(out, TargetDump{
 			ID: t.ID, Service: t.Service, Address: t.Address, State: t.State.String(), Cold: now.Before(t.ColdUntil),
 			Usable: b.usable(now, t), Ejected: t.health.out(now), Flights: t.flights(now),
-			Backlog: int(t.backlog(now, ranksTold)), Rate: t.rate, FaultRate: t.health.faults,
+			Backlog: int(t.backlog(now, ranksTold)), Rate: t.rate(), FaultRate: t.health.faults,
 		})
 	}
 	slices.SortFunc(out, func(x, y TargetDump) int { return compareText(x.ID, y.ID) })
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -10,7 +10,8 @@
 type target struct {
 	catalogue.Target
 
-	rate   float64       // tokens of prompt per millisecond
+	pace   *pace         // of the service's targets
+	factor float64       // of this target, against the pace
 	span   time.Duration // of a call without a prompt
 	flying map[*Flight]struct{}
 	shares map[string]hostShare
@@ -22,6 +23,7 @@
 	health     health
 	cold       coldBudget
 	prompts    bool // the target reads prompts
+	reads      flow // tokens that the host has given it to read
 }
 
 // hostShare is what another host has at a target.
@@ -30,10 +32,10 @@
 	at time.Time
 }
 
-func newTarget(t catalogue.Target) *target {
+func newTarget(t catalogue.Target, p *pace) *target {
 	return &target{
-		Target: t, rate: initialRate, span: initialSpan, flying: map[*Flight]struct{}{},
-		shares: map[string]hostShare{}, parts: map[uint64]time.Time{},
+		Target: t, pace: p, factor: 1, span: initialSpan, flying: map[*Flight]struct{}{},
+		shares: map[string]hostShare{}, parts: map[uint64]time.Time{}, reads: flow{span: readSpan},
 	}
 }
 
@@ -85,7 +87,10 @@
 	return 1
 }
 
-func (t *target) effectiveRate(now time.Time) float64 { return t.rate / t.slowdown(now) }
+// rate is the tokens of a prompt that the target reads in a millisecond.
+func (t *target) rate() float64 { return t.pace.rate * t.factor }
+
+func (t *target) effectiveRate(now time.Time) float64 { return t.rate() / t.slowdown(now) }
 
 // unread counts the tokens of a prompt that the target has to read: all after the
 // parts that it keeps.
@@ -116,6 +121,18 @@
 	}
 }
 
+// busy is the part of its time that the target reads prompts, by what all hosts
+// gave it lately.
+func (t *target) busy(now time.Time) float64 {
+	tokens := t.reads.rate(now)
+	for _, s := range t.shares {
+		if now.Sub(s.at) < shareAge {
+			tokens += float64(s.Reads)
+		}
+	}
+	return tokens / (t.effectiveRate(now) * milliseconds(time.Second))
+}
+
 // stall is the share of the streams at a target that pause for too long when it
 // reads the given tokens without a break.
 func (t *target) stall(now time.Time, w Work, tokens float64) float64 {
@@ -134,6 +151,8 @@
 	Own time.Duration
 	// Unread is the tokens of the prompt that the target reads.
 	Unread int
+	// Rate is the tokens that the target reads in a millisecond.
+	Rate float64
 	// Stalled is how many streams are expected to pause for too long.
 	Stalled float64
 }
@@ -158,7 +177,7 @@
 	}
 	return Prediction{
 		Wait: fromMilliseconds(wait), Own: baseSpan + fromMilliseconds(float64(unread)/rate),
-		Unread: unread, Stalled: t.stall(now, w, backlog+float64(unread)) * float64(flights+1),
+		Unread: unread, Rate: rate, Stalled: t.stall(now, w, backlog+float64(unread)) * float64(flights+1),
 	}
 }
 
@@ -172,7 +191,8 @@
 	tokens := f.ahead + float64(f.unread)
 	if ms := milliseconds(took - baseSpan); tokens >= minSampleTokens && ms > 0 {
 		sample := min(max(tokens/ms*t.slowdown(now), minRate), maxRate)
-		t.rate += learnShare * (sample - t.rate)
+		t.factor += learnShare / 2 * (min(max(sample/t.pace.rate, minFactor), maxFactor) - t.factor)
+		t.pace.learn(sample)
 	}
 }
 
@@ -198,7 +218,7 @@
 // capacity is the units of work that the target does in a second.
 func (t *target) capacity() float64 {
 	if t.prompts {
-		return t.rate * milliseconds(time.Second)
+		return t.rate() * milliseconds(time.Second)
 	}
 	return float64(max(1, t.Slots)) * milliseconds(time.Second)
 }
