--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -178,8 +178,8 @@
 type Choice struct {
 	Target     catalogue.Target
 	Prediction Prediction
-	// Busy is the part of their time that the service's targets read prompts.
-	Busy float64
+	// Pause is the mean pause between events at the service's targets.
+	Pause time.Duration
 }
 
 // Choose returns the target with the lowest predicted time, or false when none
@@ -190,9 +190,7 @@
 	bestCost := time.Duration(0)
 	choices := b.serving(now, w.Service, exclude)
 	least := w.Tokens
-	busy := 0.0
 	for _, t := range choices {
-		busy += t.busy(now) / float64(len(choices))
 		least = min(least, t.unread(now, w))
 	}
 	for _, t := range choices {
@@ -207,7 +205,19 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: best.Target, Prediction: prediction, Busy: busy}, true
+	return Choice{Target: best.Target, Prediction: prediction, Pause: meanPause(now, choices)}, true
+}
+
+// meanPause is the mean pause between events over targets where streams run.
+func meanPause(now time.Time, list []*target) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, t := range list {
+		if d, ok := t.pause(now); ok {
+			sum += d
+			n++
+		}
+	}
+	return sum / time.Duration(max(1, n))
 }
 
 const (
@@ -280,13 +290,19 @@
 	t.keep(now, w.Parts)
 	b.tell(id, w)
 	b.flows(t.Service).begun.add(now, t.amount(f))
-	t.reads.add(now, float64(f.unread))
 	if now.Before(t.ColdUntil) {
 		t.cold.spend(now, b.cold[t.Service])
 	}
 	return f
 }
 
+// Event notes a pause between two events of a stream.
+func (b *Book) Event(now time.Time, f *Flight, pause time.Duration) {
+	if f != nil {
+		f.target.pauses.add(now, pause)
+	}
+}
+
 // First notes the first byte of the answer.
 func (b *Book) First(now time.Time, f *Flight) {
 	if f == nil || f.first {
@@ -339,9 +355,8 @@
 	Rate int `json:"Rate"`
 	// SpanMs is the time of a call without a prompt.
 	SpanMs int `json:"SpanMs"`
-	// Busy is the part of their time, in hundredths, that the less busy half of the
-	// targets read prompts at most.
-	Busy int `json:"Busy"`
+	// PauseMs is the mean pause between the events of streams.
+	PauseMs int `json:"PauseMs"`
 	// Demand and Capacity are in units of work a second.
 	Demand   int `json:"Demand"`
 	Capacity int `json:"Capacity"`
@@ -370,16 +385,7 @@
 		spans += t.span
 		rate += t.effectiveRate(now)
 	}
-	busy := make([]float64, 0, len(list))
-	for _, t := range list {
-		if t.prompts {
-			busy = append(busy, t.busy(now))
-		}
-	}
-	if len(busy) > 0 {
-		slices.Sort(busy)
-		s.Busy = int(100 * busy[(len(busy)-1)/2])
-	}
+	s.PauseMs = int(meanPause(now, list).Milliseconds())
 	for rank := range s.WaitMs {
 		waits := make([]time.Duration, 0, len(list))
 		for _, t := range list {
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -19,14 +19,23 @@
 	returnShare = 0.25
 )
 
-// MaxBusy is the part of their time that a region's targets may read prompts when
-// one more call of the rank comes. Beyond it the streams that run there would not
-// end in time: the rest is what they go on in. More urgent calls find some room kept.
-func MaxBusy(rank int) float64 {
-	if rank == 0 {
-		return 0.95
+// Shares of the longest good pause that the mean pause of a region may reach when
+// one more call comes. Beyond it the pauses that are longer than the mean make
+// streams late, and long streams do not end in time. More urgent calls find some
+// room kept.
+const (
+	urgentPauseShare = 0.6
+	pauseShare       = 0.4
+)
+
+// strained reports whether streams pause so long that a call of the work's rank
+// is better not begun.
+func strained(w Work, pause time.Duration) bool {
+	share := pauseShare
+	if w.Rank == 0 {
+		share = urgentPauseShare
 	}
-	return 0.8
+	return w.Gap > 0 && pause > scale(w.Gap, share)
 }
 
 // Away is another region that may serve a call.
@@ -37,8 +46,8 @@
 	Own  time.Duration
 	// Trip is the time there and back.
 	Trip time.Duration
-	// Busy is the part of their time that targets there read prompts.
-	Busy float64
+	// Pause is the mean pause between events there.
+	Pause time.Duration
 }
 
 // Total is the predicted time to the first byte.
@@ -86,21 +95,21 @@
 	}
 	limit = min(limit, q.Left)
 	away, found := nearest(q.Away)
-	full := q.Here && q.Local.Busy > MaxBusy(q.Work.Rank)
+	full := q.Here && strained(q.Work, q.Local.Pause)
 	spill, spilled := spillTo(q.Spill, q.Away, q.Work)
 	switch {
-	case q.Here && spilled && spill.Busy <= MaxBusy(q.Work.Rank) && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
+	case q.Here && spilled && !strained(q.Work, spill.Pause) && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
 		return Answer{Region: spill.Region, Reason: "the region's share for another one", Spilled: true}
 	case q.Here && !full && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
 		return Answer{Local: true, Reason: "in good time"}
-	case found && away.Busy <= MaxBusy(q.Work.Rank) && away.Wait <= limit && away.Total() < q.Left && (!q.Here || full || away.Total()+awayGain < q.Local.Prediction.Total()):
+	case found && !strained(q.Work, away.Pause) && away.Wait <= limit && away.Total() < q.Left && (!q.Here || full || away.Total()+awayGain < q.Local.Prediction.Total()):
 		return Answer{Region: away.Region, Reason: "sooner in another region"}
 	case q.Here && !full && q.Local.Prediction.Wait <= limit:
 		return Answer{Local: true, Reason: "within the wait that is allowed"}
 	case !q.Here && !found:
 		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
 	case full:
-		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the targets are busy with prompts"}
+		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the streams pause for too long"}
 	default:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the wait is too long"}
 	}
--- a/internal/balance/rate.go
+++ b/internal/balance/rate.go
@@ -9,29 +9,20 @@
 // a peak, long against the pause between two calls.
 const rateSpan = 800 * time.Millisecond
 
-// readSpan is the time over which the reading of one target is averaged: several
-// prompts of the usual length.
-const readSpan = 2 * time.Second
+// pauseSpan is the time over which the pauses between events are averaged.
+const pauseSpan = time.Second
 
 // flow is the rate of something that comes in portions, as a mean that forgets
 // exponentially.
 type flow struct {
-	span      time.Duration // over which it is averaged; zero stands for rateSpan
 	perSecond float64
 	at        time.Time
 }
 
-func (f *flow) over() time.Duration {
-	if f.span > 0 {
-		return f.span
-	}
-	return rateSpan
-}
-
 // add counts a portion.
 func (f *flow) add(now time.Time, amount float64) {
 	f.decay(now)
-	f.perSecond += amount / f.over().Seconds()
+	f.perSecond += amount / rateSpan.Seconds()
 }
 
 // rate returns the flow in units a second.
@@ -42,7 +33,7 @@
 
 func (f *flow) decay(now time.Time) {
 	if !f.at.IsZero() {
-		f.perSecond *= math.Exp(-float64(now.Sub(f.at)) / float64(f.over()))
+		f.perSecond *= math.Exp(-float64(now.Sub(f.at)) / float64(rateSpan))
 	}
 	f.at = now
 }
@@ -69,3 +60,30 @@
 	weight := max(learnShare/2, 1/float64(min(p.samples, quickSamples)+1))
 	p.rate += weight * (sample - p.rate)
 }
+
+// pauses is the mean of the pauses between events, weighted towards the last
+// second.
+type pauses struct {
+	sum    float64 // milliseconds
+	weight float64
+	at     time.Time
+}
+
+func (p *pauses) add(now time.Time, d time.Duration) {
+	if !p.at.IsZero() {
+		fade := math.Exp(-float64(now.Sub(p.at)) / float64(pauseSpan))
+		p.sum *= fade
+		p.weight *= fade
+	}
+	p.at = now
+	p.sum += milliseconds(d)
+	p.weight++
+}
+
+// mean returns the mean pause, and false when there was none lately.
+func (p *pauses) mean(now time.Time) (time.Duration, bool) {
+	if p.weight == 0 || now.Sub(p.at) > pauseSpan {
+		return 0, false
+	}
+	return fromMilliseconds(p.sum / p.weight), true
+}
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -117,7 +117,7 @@
 }
 
 func (v *regionView) away(now time.Time, region string, s ServiceState, w Work) Away {
-	a := Away{Region: region, Trip: v.trip, Busy: float64(s.Busy) / 100, Wait: time.Duration(s.WaitMs[min(w.Rank, 1)]) * time.Millisecond}
+	a := Away{Region: region, Trip: v.trip, Pause: time.Duration(s.PauseMs) * time.Millisecond, Wait: time.Duration(s.WaitMs[min(w.Rank, 1)]) * time.Millisecond}
 	tokens := 0
 	for _, sent := range v.sent {
 		if sent.service == w.Service && now.Sub(sent.at) <= sentMemory {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -14,8 +14,8 @@
 	Flights int `json:"F"`
 	// Backlog are the tokens of prompts without a first event, by rank.
 	Backlog [ranksTold]int `json:"B"`
-	// Reads are the tokens a second that the host gives it to read.
-	Reads int `json:"R,omitempty"`
+	// PauseMs is the mean pause between the events of streams lately, 0 for none.
+	PauseMs int `json:"P,omitempty"`
 }
 
 func (s TargetShare) backlog(rank int) int {
@@ -66,10 +66,11 @@
 		s.Flows[service] = flows.now(now).rounded()
 	}
 	for id, t := range b.targets {
-		share := TargetShare{Flights: len(t.flying), Reads: int(t.reads.rate(now))}
-		if share.Flights == 0 && share.Reads == 0 {
+		if len(t.flying) == 0 {
 			continue
 		}
+		pause, _ := t.pauses.mean(now)
+		share := TargetShare{Flights: len(t.flying), PauseMs: int(pause.Milliseconds())}
 		for f := range t.flying {
 			if !f.first {
 				share.Backlog[min(f.work.Rank, ranksTold-1)] += f.unread
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -23,7 +23,7 @@
 	health     health
 	cold       coldBudget
 	prompts    bool // the target reads prompts
-	reads      flow // tokens that the host has given it to read
+	pauses     pauses
 }
 
 // hostShare is what another host has at a target.
@@ -35,7 +35,7 @@
 func newTarget(t catalogue.Target, p *pace) *target {
 	return &target{
 		Target: t, pace: p, factor: 1, span: initialSpan, flying: map[*Flight]struct{}{},
-		shares: map[string]hostShare{}, parts: map[uint64]time.Time{}, reads: flow{span: readSpan},
+		shares: map[string]hostShare{}, parts: map[uint64]time.Time{},
 	}
 }
 
@@ -121,16 +121,23 @@
 	}
 }
 
-// busy is the part of its time that the target reads prompts, by what all hosts
-// gave it lately.
-func (t *target) busy(now time.Time) float64 {
-	tokens := t.reads.rate(now)
+// pause is the mean pause between the events of the streams that run at the
+// target, as all hosts saw it lately, and false when none did.
+func (t *target) pause(now time.Time) (time.Duration, bool) {
+	sum, n := time.Duration(0), 0
+	if d, ok := t.pauses.mean(now); ok {
+		sum, n = d, 1
+	}
 	for _, s := range t.shares {
-		if now.Sub(s.at) < shareAge {
-			tokens += float64(s.Reads)
+		if s.PauseMs > 0 && now.Sub(s.at) < shareAge {
+			sum += time.Duration(s.PauseMs) * time.Millisecond
+			n++
 		}
 	}
-	return tokens / (t.effectiveRate(now) * milliseconds(time.Second))
+	if n == 0 {
+		return 0, false
+	}
+	return sum / time.Duration(n), true
 }
 
 // stall is the share of the streams at a target that pause for too long when it
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -193,7 +193,9 @@
 // next reads the next event, if need be from another target.
 func (r *relay) next() ([]byte, error) {
 	r.s.try.expect(max(minGap, patientGaps*r.f.route.MaxGap))
+	began := r.f.g.clock.Now()
 	event, err := r.s.stream.next()
+	r.s.try.event(r.f.g.clock.Now().Sub(began))
 	for err != nil && !isEnd(err) {
 		r.f.note("stream of %s after event %q: %v", r.s.target, r.s.stream.last, err)
 		if !r.resume() {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -113,6 +113,18 @@
 	g.learnTypical(t.f.route.Name, t.choice.Prediction.Own)
 }
 
+// event notes the pause before an event of a stream.
+func (t *try) event(pause time.Duration) {
+	if t.handle == nil {
+		return
+	}
+	g := t.f.g
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Event(now, t.handle, pause)
+}
+
 // end frees what the send holds and notes how it ended.
 func (t *try) end(r balance.Result) {
 	if t.timer != nil {
