internal/balance: let one region keep the shared parts of a prompt

Ruled out: the choice among a region's targets (149 of 1,121 calls went to a target that keeps less than another one), and what hosts tell each other. Calls that share 2,000 tokens or more go to the region that their parts hash to, regions weighted by their targets, while it answers well within the aim.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -106,6 +106,7 @@
 	for _, t := range b.targets {
 		if t.Service == service && b.usable(now, t) && !t.health.out(now) {
 			out.Capacity += t.capacity()
+			out.Targets++
 		}
 	}
 	return out
@@ -178,6 +179,8 @@
 type Choice struct {
 	Target     catalogue.Target
 	Prediction Prediction
+	// Least is the fewest tokens of the prompt that any target would read.
+	Least int
 	// Pause is the mean pause between events at the service's targets.
 	Pause time.Duration
 }
@@ -205,7 +208,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: best.Target, Prediction: prediction, Pause: meanPause(now, choices)}, true
+	return Choice{Target: best.Target, Least: least, Prediction: prediction, Pause: meanPause(now, choices)}, true
 }
 
 // meanPause is the mean pause between events over targets where streams run.
@@ -224,7 +227,7 @@
 	// jitterShare spreads the choices of hosts that know the same.
 	jitterShare = 0.15
 	// homeBonus favours, among equals, the target that a prompt's parts hash to.
-	homeBonus = 20 * time.Millisecond
+	homeBonus = 120 * time.Millisecond
 )
 
 func (b *Book) jitter(cost time.Duration, t *target, w Work) time.Duration {
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -8,6 +8,9 @@
 	// comfortShare is the part of the aim within which a call stays at home
 	// without a look at other regions.
 	comfortShare = 0.5
+	// keeperShare is the part of the aim within which the first byte must be expected
+	// from the region that keeps a call's parts.
+	keeperShare = 0.75
 	// awayGain is what sending away must save at least.
 	awayGain = 40 * time.Millisecond
 	// minWaitShare is the part of the aim that a call may always wait.
@@ -62,7 +65,9 @@
 	Away []Away
 	// Spill are the shares of the work that go to other regions, by region.
 	Spill map[string]float64
-	Work  Work
+	// Keeper is the region that keeps the shared parts of the call, if one does.
+	Keeper string
+	Work   Work
 	// Aim is the time to the first byte that is still good; Left is the time
 	// until the caller gives up.
 	Aim  time.Duration
@@ -97,7 +102,10 @@
 	away, found := nearest(q.Away)
 	full := q.Here && strained(q.Work, q.Local.Pause)
 	spill, spilled := spillTo(q.Spill, q.Away, q.Work)
+	keeper, kept := find(q.Away, q.Keeper)
 	switch {
+	case q.Here && kept && !strained(q.Work, keeper.Pause) && keeper.Total() <= scale(q.Aim, keeperShare):
+		return Answer{Region: keeper.Region, Reason: "the region that keeps its parts"}
 	case q.Here && spilled && !strained(q.Work, spill.Pause) && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
 		return Answer{Region: spill.Region, Reason: "the region's share for another one", Spilled: true}
 	case q.Here && !full && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
@@ -115,6 +123,15 @@
 	}
 }
 
+func find(regions []Away, name string) (Away, bool) {
+	for _, a := range regions {
+		if a.Region == name {
+			return a, true
+		}
+	}
+	return Away{}, false
+}
+
 func nearest(regions []Away) (Away, bool) {
 	var best Away
 	for i, a := range regions {
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -110,7 +110,7 @@
 	for _, a := range options {
 		v := r.view(a.Region)
 		if s, ok := v.services[service]; ok && now.Sub(v.at) <= stateAge {
-			out = append(out, Basin{Region: a.Region, Demand: float64(s.Demand), Capacity: float64(s.Capacity)})
+			out = append(out, Basin{Region: a.Region, Targets: s.Targets, Demand: float64(s.Demand), Capacity: float64(s.Capacity)})
 		}
 	}
 	return out
--- a/internal/balance/spill.go
+++ b/internal/balance/spill.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,7 +10,7 @@
 // spillLevel is the part of its targets' capacity that a region uses before it
 // sends work away. Beyond it, prompts that are read hold up the streams that run
 // beside them.
-const spillLevel = 0.5
+const spillLevel = 0.35
 
 // Flows are what one host, or the hosts of a region together, do for a service,
 // in units of work a second.
@@ -32,10 +33,42 @@
 // Basin is a region's demand and capacity for a service.
 type Basin struct {
 	Region   string
+	Targets  int
 	Demand   float64
 	Capacity float64
 }
 
+// minKeptTokens is the length of shared parts from which a call is worth sending
+// to the region that keeps them: reading them again takes about as long as the
+// way there and back.
+const minKeptTokens = 2000
+
+// Keeper returns the region that keeps the shared parts of a call, so that the
+// same parts are read in one region only. Regions keep parts by the number of
+// their targets. There is none for calls that share little.
+func Keeper(w Work, basins []Basin) string {
+	if len(w.Parts) < 2 {
+		return ""
+	}
+	shared := w.Parts[:len(w.Parts)-1]
+	tokens := 0
+	for _, p := range shared {
+		tokens += p.Tokens
+	}
+	if tokens < minKeptTokens {
+		return ""
+	}
+	best, score := "", 0.0
+	for _, b := range basins {
+		h := mix(shared[len(shared)-1].ID ^ xxhash.Sum64String(b.Region))
+		unit := (float64(h>>11) + 1) / (1 << 53)
+		if s := -float64(b.Targets) / math.Log(unit); b.Targets > 0 && (best == "" || s > score) {
+			best, score = b.Region, s
+		}
+	}
+	return best
+}
+
 // Spill returns the shares of the home region's work that go to other regions,
 // by region. All regions that know the same figures come to shares that fit
 // together: what overflows somewhere fills what is free elsewhere, up to a level
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -61,12 +61,12 @@
 	maxParts = 4096
 	// rereadWeight is what reading a part once more costs that another target
 	// keeps, beyond its time and in multiples of it.
-	rereadWeight = 5.0
+	rereadWeight = 10.0
 	// stallCost is what a pause that is too long costs for each stream that runs
 	// at the target, as a predicted time.
 	stallCost = 600 * time.Millisecond
 	// stallFrom and stallFull are the parts of what a target reads in the longest
 	// good pause at which streams begin to stall, and surely do.
-	stallFrom = 0.5
-	stallFull = 1.0
+	stallFrom = 0.25
+	stallFull = 0.75
 )
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -139,7 +139,9 @@
 		q.Away = f.g.regions.Options(now, regions, f.work, !q.Here)
 	}
 	if q.Here && len(q.Away) > 0 {
-		q.Spill = balance.Spill(f.g.book.Basin(now, f.service), f.g.regions.Basins(now, q.Away, f.service))
+		home, others := f.g.book.Basin(now, f.service), f.g.regions.Basins(now, q.Away, f.service)
+		q.Spill = balance.Spill(home, others)
+		q.Keeper = balance.Keeper(f.work, append(others, home))
 	}
 	answer := balance.Decide(q)
 	if answer.Spilled {
