internal/balance: test each pattern without a network

Tests of choice, cold targets, decisions between regions, shares sent away, the keeper of parts, the budget for repeats; of the catalogue's order by scripted cases; of routes. One failed first: a target that failed once was left out for good by hosts that were idle, as its failures did not fade. They do now, and equal targets are told apart by chance.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -57,7 +58,9 @@
 	go func() { written <- sink.Run(logging) }()
 	defer func() {
 		stopLogging()
-		<-written
+		if err := <-written; err != nil {
+			_, _ = fmt.Fprintf(e.err, "sequoiarack: log: %v\n", err)
+		}
 	}()
 	log := newLineLogger(sink, s)
 	g, err := gateway.New(s, adapters(), gateway.WithLogger(log))
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,408 @@
+package balance_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+const (
+	service  = "model"
+	gap      = 600 * time.Millisecond
+	coldRate = 2.0
+)
+
+var start = time.Unix(1000, 0)
+
+func targets(region string, n int) *catalogue.Snapshot {
+	table, err := route.NewTable(route.Document{Version: 1, Services: []route.Service{{Name: service, ColdPerSecond: coldRate}}})
+	Expect(err).NotTo(HaveOccurred())
+	s := &catalogue.Snapshot{Table: table, Targets: map[string]catalogue.Target{}, Evacuated: map[string]bool{}}
+	for i := range n {
+		id := fmt.Sprintf("t%02d", i)
+		s.Targets[id] = catalogue.Target{
+			Report: catalogue.Report{ID: id, Service: service, Address: id, DataCentre: "dc", Slots: 64}, Region: region, Incarnation: id + "@1",
+		}
+	}
+	return s
+}
+
+func book(n int) *balance.Book {
+	b := balance.NewBook("north", 1)
+	b.Configure(targets("north", n))
+	b.SetHosts(balance.Hosts{Self: "h1", Live: []string{"h1"}, Known: 1, Settled: true})
+	return b
+}
+
+func prompt(tokens int) balance.Work {
+	return balance.Work{Service: service, Rank: 1, Tokens: tokens, Gap: gap}
+}
+
+// shared is a prompt whose first part other prompts share.
+func shared(part uint64, sharedTokens, own int) balance.Work {
+	w := prompt(sharedTokens + own)
+	w.Parts = []balance.Part{{ID: part, Tokens: sharedTokens}, {ID: part + 1<<32 + uint64(own), Tokens: own}}
+	return w
+}
+
+func choose(b *balance.Book, now time.Time, w balance.Work) string {
+	choice, ok := b.Choose(now, w, nil)
+	ExpectWithOffset(1, ok).To(BeTrue())
+	return choice.Target.ID
+}
+
+var _ = Describe("the choice of a target", func() {
+	It("spreads prompts, so that none waits behind another while a target is idle", func() {
+		b := book(8)
+		seen := map[string]bool{}
+		for range 8 {
+			id := choose(b, start, prompt(10000))
+			Expect(seen[id]).To(BeFalse(), "target %s got a second prompt", id)
+			seen[id] = true
+			b.Begin(start, id, prompt(10000))
+		}
+	})
+
+	It("sends a prompt where its shared parts are kept", func() {
+		b := book(8)
+		first := choose(b, start, shared(7, 5000, 1000))
+		b.End(start, b.Begin(start, first, shared(7, 5000, 1000)), balance.Answered)
+		for i := range 50 {
+			Expect(choose(b, start.Add(time.Second), shared(7, 5000, 1000+i))).To(Equal(first))
+		}
+	})
+
+	It("learns from other hosts which parts are kept", func() {
+		one, other := book(8), book(8)
+		id := choose(one, start, shared(7, 5000, 1000))
+		one.Begin(start, id, shared(7, 5000, 1000))
+		other.Merge(start, "h1", one.Share(start))
+		Expect(choose(other, start.Add(time.Second), shared(7, 5000, 2000))).To(Equal(id))
+	})
+
+	It("keeps a long prompt away from the targets where streams run", func() {
+		b := book(4)
+		for _, id := range []string{"t00", "t01", "t02"} {
+			for range 10 {
+				f := b.Begin(start, id, prompt(100))
+				b.First(start, f)
+			}
+		}
+		Expect(choose(b, start.Add(time.Second), prompt(40000))).To(Equal("t03"))
+	})
+
+	It("counts what other hosts have sent", func() {
+		one, other := book(2), book(2)
+		id := choose(one, start, prompt(20000))
+		one.Begin(start, id, prompt(20000))
+		other.Merge(start, "h1", one.Share(start))
+		Expect(choose(other, start, prompt(5000))).NotTo(Equal(id))
+	})
+
+	It("leaves out a target that cannot be reached, and comes back to it", func() {
+		b := book(2)
+		b.End(start, b.Begin(start, "t00", prompt(100)), balance.Unreached)
+		for range 20 {
+			Expect(choose(b, start.Add(100*time.Millisecond), prompt(100))).To(Equal("t01"))
+		}
+		ids := map[string]bool{}
+		for range 200 {
+			ids[choose(b, start.Add(10*time.Second), prompt(100))] = true
+		}
+		Expect(ids).To(HaveKey("t00"))
+	})
+
+	It("uses the last target of a service however it fails", func() {
+		b := book(1)
+		for range 10 {
+			b.End(start, b.Begin(start, "t00", prompt(100)), balance.Failed)
+		}
+		Expect(choose(b, start, prompt(100))).To(Equal("t00"))
+	})
+
+	It("never gives a leaving or evacuated target", func() {
+		b := book(2)
+		b.Leaves("t00")
+		Expect(choose(b, start, prompt(100))).To(Equal("t01"))
+		s := targets("north", 2)
+		s.Evacuated["dc"] = true
+		b.Configure(s)
+		_, ok := b.Choose(start, prompt(100), nil)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("forgets what a target kept when its process is a new one", func() {
+		b := book(2)
+		id := choose(b, start, shared(7, 5000, 1000))
+		b.End(start, b.Begin(start, id, shared(7, 5000, 1000)), balance.Answered)
+		s := targets("north", 2)
+		t := s.Targets[id]
+		t.Incarnation = id + "@2"
+		s.Targets[id] = t
+		b.Configure(s)
+		choice, _ := b.Choose(start, shared(7, 5000, 1000), nil)
+		Expect(choice.Least).To(Equal(6000))
+	})
+})
+
+var _ = Describe("cold targets", func() {
+	cold := func(names ...string) []*balance.Book {
+		var out []*balance.Book
+		for _, name := range names {
+			b := book(1)
+			b.SetHosts(balance.Hosts{Self: name, Live: names, Known: len(names), Settled: true})
+			b.Chill(start, "t00", time.Hour)
+			out = append(out, b)
+		}
+		return out
+	}
+	sent := func(books []*balance.Book, span time.Duration) int {
+		n := 0
+		for at := time.Duration(0); at < span; at += 5 * time.Millisecond {
+			for _, b := range books {
+				if _, ok := b.Choose(start.Add(at), prompt(100), nil); ok {
+					b.Begin(start.Add(at), "t00", prompt(100))
+					n++
+				}
+			}
+		}
+		return n
+	}
+
+	It("get no more from all hosts than they bear", func() {
+		const seconds = 10
+		Expect(sent(cold("h1", "h2", "h3", "h4", "h5"), seconds*time.Second)).To(And(
+			BeNumerically(">", 0), BeNumerically("<=", coldRate*seconds+1)))
+	})
+
+	It("get nothing from hosts that hear only half of the others", func() {
+		books := cold("h1", "h2", "h3", "h4")
+		books[0].SetHosts(balance.Hosts{Self: "h1", Live: []string{"h1", "h2"}, Known: 4, Settled: true})
+		Expect(sent(books[:1], 5*time.Second)).To(Equal(0))
+	})
+
+	It("get nothing from a host that has just started", func() {
+		books := cold("h1")
+		books[0].SetHosts(balance.Hosts{Self: "h1", Live: []string{"h1"}, Known: 1})
+		Expect(sent(books, 5*time.Second)).To(Equal(0))
+	})
+})
+
+var _ = Describe("the decision between regions", func() {
+	local := func(wait, own, pause time.Duration) balance.Choice {
+		return balance.Choice{Prediction: balance.Prediction{Wait: wait, Own: own}, Pause: pause}
+	}
+	question := func(c balance.Choice, away ...balance.Away) balance.Question {
+		return balance.Question{
+			Local: c, Here: true, Away: away, Aim: 800 * time.Millisecond, Left: 10 * time.Second,
+			Typical: 100 * time.Millisecond, Work: prompt(5000), Spread: 0.5,
+		}
+	}
+	idle := balance.Away{Region: "south", Own: 100 * time.Millisecond, Trip: 120 * time.Millisecond}
+
+	It("stays at home while the answer comes in good time", func() {
+		Expect(balance.Decide(question(local(200*time.Millisecond, 100*time.Millisecond, 0), idle)).Local).To(BeTrue())
+	})
+
+	It("goes away when that saves more than the way costs", func() {
+		Expect(balance.Decide(question(local(600*time.Millisecond, 100*time.Millisecond, 0), idle)).Region).To(Equal("south"))
+	})
+
+	It("does not go away for a gain that is too small", func() {
+		idle := idle
+		idle.Wait = 180 * time.Millisecond
+		Expect(balance.Decide(question(local(330*time.Millisecond, 100*time.Millisecond, 0), idle)).Local).To(BeTrue())
+	})
+
+	It("refuses at once, and says when to come back, what would wait for longer than its aim", func() {
+		answer := balance.Decide(question(local(3*time.Second, 100*time.Millisecond, 0)))
+		Expect(answer.Local).To(BeFalse())
+		Expect(answer.Region).To(BeEmpty())
+		Expect(answer.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<", 10*time.Second)))
+	})
+
+	It("does not refuse a long prompt for its own length", func() {
+		Expect(balance.Decide(question(local(100*time.Millisecond, 2*time.Second, 0))).Local).To(BeTrue())
+	})
+
+	It("begins no more streams where those that run pause for too long, the less urgent first", func() {
+		q := question(local(0, 100*time.Millisecond, gap/2))
+		Expect(balance.Decide(q).Local).To(BeFalse())
+		q.Work.Rank = 0
+		Expect(balance.Decide(q).Local).To(BeTrue())
+		q.Local.Pause = gap
+		Expect(balance.Decide(q).Local).To(BeFalse())
+	})
+
+	It("goes to the region that keeps its parts while that is in good time", func() {
+		q := question(local(0, 100*time.Millisecond, 0), idle)
+		q.Keeper = "south"
+		Expect(balance.Decide(q).Region).To(Equal("south"))
+		q.Away[0].Wait = time.Second
+		Expect(balance.Decide(q).Local).To(BeTrue())
+	})
+
+	It("goes away when there is no target at home, and is refused when there is none anywhere", func() {
+		q := question(balance.Choice{}, idle)
+		q.Here = false
+		Expect(balance.Decide(q).Region).To(Equal("south"))
+		q.Away = nil
+		Expect(balance.Decide(q)).To(HaveField("Reason", "no target"))
+	})
+})
+
+var _ = Describe("the shares that regions send away", func() {
+	It("fill what is free elsewhere at antiphase peaks, and nothing goes to a full region", func() {
+		peak := balance.Basin{Region: "north", Demand: 900, Capacity: 1000}
+		others := []balance.Basin{{Region: "south", Demand: 100, Capacity: 600}, {Region: "west", Demand: 290, Capacity: 300}}
+		shares := balance.Spill(peak, others)
+		Expect(shares).To(HaveKey("south"))
+		Expect(shares).NotTo(HaveKey("west"))
+		Expect(balance.Spill(others[0], []balance.Basin{peak, others[1]})).To(BeEmpty())
+	})
+
+	It("keep every region at or below the common level", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(1, 9).Draw(t, "regions")
+			basins := make([]balance.Basin, n)
+			demand, capacity := 0.0, 0.0
+			for i := range basins {
+				basins[i] = balance.Basin{
+					Region: fmt.Sprint(i), Demand: rapid.Float64Range(0, 1000).Draw(t, "demand"), Capacity: rapid.Float64Range(1, 1000).Draw(t, "capacity"),
+				}
+				demand += basins[i].Demand
+				capacity += basins[i].Capacity
+			}
+			got := make([]float64, n)
+			for i, home := range basins {
+				var others []balance.Basin
+				for k, b := range basins {
+					if k != i {
+						others = append(others, b)
+					}
+				}
+				sent := 0.0
+				for k, b := range basins {
+					share := balance.Spill(home, others)[b.Region]
+					if share < 0 || share > 1 || (k == i && share > 0) {
+						t.Fatalf("share %g of region %d to %d", share, i, k)
+					}
+					got[k] += share * home.Demand
+					sent += share * home.Demand
+				}
+				got[i] += home.Demand - sent
+			}
+			level := max(balance.SpillLevel, demand/capacity)
+			for i, b := range basins {
+				if got[i] > level*b.Capacity*1.001+1e-6 {
+					t.Fatalf("region %d gets %g of %g at level %g", i, got[i], b.Capacity, level)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("the region that keeps parts", func() {
+	basins := []balance.Basin{{Region: "north", Targets: 9}, {Region: "south", Targets: 6}, {Region: "west", Targets: 3}}
+
+	It("is the same for all hosts, and chosen by the number of targets", func() {
+		counts := map[string]int{}
+		const parts = 3000
+		for i := range parts {
+			w := shared(uint64(i)*7919, 5000, 100)
+			region := balance.Keeper(w, basins)
+			Expect(balance.Keeper(w, []balance.Basin{basins[2], basins[0], basins[1]})).To(Equal(region))
+			counts[region]++
+		}
+		for _, b := range basins {
+			Expect(float64(counts[b.Region]) / parts).To(BeNumerically("~", float64(b.Targets)/18, 0.05))
+		}
+	})
+
+	It("is none for a call that shares little", func() {
+		Expect(balance.Keeper(shared(7, 500, 1000), basins)).To(BeEmpty())
+	})
+
+	It("changes only for the parts of a region that is lost", func() {
+		for i := range 500 {
+			w := shared(uint64(i)*7919, 5000, 100)
+			if region := balance.Keeper(w, basins); region != "west" {
+				Expect(balance.Keeper(w, basins[:2])).To(Equal(region))
+			}
+		}
+	})
+})
+
+var _ = Describe("the budget for repeats", func() {
+	It("holds for the whole fleet when no host hears another, in any window", func() {
+		const (
+			hosts  = 15
+			ratio  = 0.2
+			slack  = 116.0
+			window = 10 * time.Second
+			perS   = 20.0 // calls a second at each host
+		)
+		var budgets []*balance.RetryBudget
+		for range hosts {
+			b := balance.NewRetryBudget(ratio, slack, window)
+			b.SetHosts(hosts)
+			budgets = append(budgets, b)
+		}
+		var sent []time.Duration
+		calls := 0
+		for at := time.Duration(0); at < 3*window; at += time.Duration(float64(time.Second) / perS) {
+			for _, b := range budgets {
+				b.Call(start.Add(at))
+				calls++
+				for b.Spend(start.Add(at)) {
+					sent = append(sent, at)
+				}
+			}
+		}
+		for from := time.Duration(0); from <= 2*window; from += 100 * time.Millisecond {
+			n := 0
+			for _, at := range sent {
+				if at >= from && at < from+window {
+					n++
+				}
+			}
+			Expect(float64(n)).To(BeNumerically("<=", ratio*float64(calls)/3+slack))
+		}
+		Expect(len(sent)).To(BeNumerically(">", int(math.Round(ratio*float64(calls)/3))))
+	})
+})
+
+var _ = Describe("what is known of other regions", func() {
+	It("is not asked of a region that has been silent, unless there is nothing at home", func() {
+		r := balance.NewRegions()
+		r.Take(start, "south", map[string]balance.ServiceState{service: {Targets: 3, Rate: 100}})
+		Expect(r.Options(start, []string{"south"}, prompt(100), false)).To(HaveLen(1))
+		later := start.Add(time.Minute)
+		Expect(r.Options(later, []string{"south"}, prompt(100), false)).To(BeEmpty())
+		Expect(r.Options(later, []string{"south"}, prompt(100), true)).To(HaveLen(1))
+	})
+
+	It("leaves one service out that a region has refused, and no other", func() {
+		r := balance.NewRegions()
+		r.Take(start, "south", map[string]balance.ServiceState{service: {Targets: 3, Rate: 100}, "desk": {Targets: 1}})
+		r.RefusedBy(start, "south", service)
+		Expect(r.Options(start, []string{"south"}, prompt(100), false)).To(BeEmpty())
+		Expect(r.Options(start, []string{"south"}, balance.Work{Service: "desk"}, false)).To(HaveLen(1))
+	})
+
+	It("counts what was just sent there", func() {
+		r := balance.NewRegions()
+		r.Take(start, "south", map[string]balance.ServiceState{service: {Targets: 1, Rate: 50}})
+		before := r.Options(start, []string{"south"}, prompt(10000), false)[0].Total()
+		r.Sent(start, "south", prompt(10000))
+		Expect(r.Options(start, []string{"south"}, prompt(10000), false)[0].Total()).To(BeNumerically(">=", before+200*time.Millisecond))
+	})
+})
--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -22,7 +22,7 @@
 	Settled bool
 }
 
-// Book is what a host believes of its region's targets. Its owner serializes
+// Book is what a host believes of its region's targets. Its owner serialises
 // the calls.
 type Book struct {
 	random  *rand.Rand
@@ -199,7 +199,7 @@
 	for _, t := range choices {
 		p := t.predict(now, w)
 		again := fromMilliseconds(float64(p.Unread-least) / t.effectiveRate(now))
-		cost := p.Total() + t.health.cost() + scale(again, rereadWeight) + scale(stallCost, p.Stalled)
+		cost := p.Total() + t.health.cost(now) + scale(again, rereadWeight) + scale(stallCost, p.Stalled)
 		cost = b.jitter(cost, t, w)
 		if best == nil || cost < bestCost {
 			best, prediction, bestCost = t, p, cost
@@ -226,12 +226,14 @@
 const (
 	// jitterShare spreads the choices of hosts that know the same.
 	jitterShare = 0.15
+	// jitterFloor does the same between targets that are all idle.
+	jitterFloor = 10 * time.Millisecond
 	// homeBonus favours, among equals, the target that a prompt's parts hash to.
 	homeBonus = 120 * time.Millisecond
 )
 
 func (b *Book) jitter(cost time.Duration, t *target, w Work) time.Duration {
-	cost = scale(cost, 1+jitterShare*(b.random.Float64()-0.5))
+	cost = scale(cost, 1+jitterShare*(b.random.Float64()-0.5)) + scale(jitterFloor, b.random.Float64())
 	if len(w.Parts) > 1 {
 		h := xxhash.Sum64String(t.ID) ^ (w.Parts[len(w.Parts)-2].ID * 0x9e3779b97f4a7c15)
 		cost += time.Duration(h%1024) * homeBonus / 1024
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -94,52 +94,70 @@
 // be in good time there, and goes away only where that saves something. What
 // would wait so long that calls of its size are late everywhere is refused.
 func Decide(q Question) Answer {
-	limit := max(q.Aim-q.Typical, scale(q.Aim, minWaitShare))
-	if q.Aim == 0 {
-		limit = q.Left
+	limit := q.limit()
+	if a, ok := q.keeper(); ok {
+		return a
+	}
+	if a, ok := q.spill(limit); ok {
+		return a
 	}
-	limit = min(limit, q.Left)
-	away, found := nearest(q.Away)
+	local := q.Local.Prediction
 	full := q.Here && strained(q.Work, q.Local.Pause)
-	spill, spilled := spillTo(q.Spill, q.Away, q.Work)
-	keeper, kept := find(q.Away, q.Keeper)
-	switch {
-	case q.Here && kept && !strained(q.Work, keeper.Pause) && keeper.Total() <= scale(q.Aim, keeperShare):
-		return Answer{Region: keeper.Region, Reason: "the region that keeps its parts"}
-	case q.Here && spilled && !strained(q.Work, spill.Pause) && spill.Wait <= limit && spill.Total() < max(q.Aim, q.Local.Prediction.Total()):
-		return Answer{Region: spill.Region, Reason: "the region's share for another one", Spilled: true}
-	case q.Here && !full && (q.Local.Prediction.Total() <= scale(q.Aim, comfortShare) || q.Aim == 0):
+	open := q.Here && !full
+	if open && (q.Aim == 0 || local.Total() <= scale(q.Aim, comfortShare)) {
 		return Answer{Local: true, Reason: "in good time"}
-	case found && !strained(q.Work, away.Pause) && away.Wait <= limit && away.Total() < q.Left && (!q.Here || full || away.Total()+awayGain < q.Local.Prediction.Total()):
+	}
+	if away, ok := q.nearest(limit); ok && (!open || away.Total()+awayGain < local.Total()) {
 		return Answer{Region: away.Region, Reason: "sooner in another region"}
-	case q.Here && !full && q.Local.Prediction.Wait <= limit:
+	}
+	switch {
+	case open && local.Wait <= limit:
 		return Answer{Local: true, Reason: "within the wait that is allowed"}
-	case !q.Here && !found:
-		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
 	case full:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the streams pause for too long"}
+	case !q.Here && len(q.Away) == 0:
+		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
 	default:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the wait is too long"}
 	}
 }
 
-func find(regions []Away, name string) (Away, bool) {
-	for _, a := range regions {
-		if a.Region == name {
-			return a, true
+// limit is the longest wait for which a call is begun.
+func (q Question) limit() time.Duration {
+	if q.Aim == 0 {
+		return q.Left
+	}
+	return min(q.Left, max(q.Aim-q.Typical, scale(q.Aim, minWaitShare)))
+}
+
+// keeper sends a call to the region that keeps its parts.
+func (q Question) keeper() (Answer, bool) {
+	for _, a := range q.Away {
+		if q.Here && a.Region == q.Keeper && !strained(q.Work, a.Pause) && a.Total() <= scale(q.Aim, keeperShare) {
+			return Answer{Region: a.Region, Reason: "the region that keeps its parts"}, true
 		}
 	}
-	return Away{}, false
+	return Answer{}, false
+}
+
+// spill sends the region's share for other regions there.
+func (q Question) spill(limit time.Duration) (Answer, bool) {
+	a, ok := spillTo(q.Spill, q.Away, q.Work)
+	if !ok || !q.Here || strained(q.Work, a.Pause) || a.Wait > limit || a.Total() >= max(q.Aim, q.Local.Prediction.Total()) {
+		return Answer{}, false
+	}
+	return Answer{Region: a.Region, Reason: "the region's share for another one", Spilled: true}, true
 }
 
-func nearest(regions []Away) (Away, bool) {
+// nearest returns the region with the soonest answer, if it may be begun there.
+func (q Question) nearest(limit time.Duration) (Away, bool) {
 	var best Away
-	for i, a := range regions {
+	for i, a := range q.Away {
 		if i == 0 || a.Total() < best.Total() {
 			best = a
 		}
 	}
-	return best, len(regions) > 0
+	return best, len(q.Away) > 0 && !strained(q.Work, best.Pause) && best.Wait <= limit && best.Total() < q.Left
 }
 
 // retryAfter is when the wait is expected to have fallen to half of the limit.
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// firstEjection is how long a target is left out after its first failure in a
@@ -12,6 +15,9 @@
 	toleratedFaults = 2
 	// faultCost is added to the predicted time for a target that always fails.
 	faultCost = 1500 * time.Millisecond
+	// faultSpan is the time in which a target that gets no calls is forgiven most
+	// of its failures.
+	faultSpan = 3 * time.Second
 )
 
 // Result is how a call at a target ended.
@@ -42,21 +48,24 @@
 // health is what the ends of calls say of a target.
 type health struct {
 	faults       float64 // share of calls that failed, as a running mean
+	at           time.Time
 	inRow        int
 	ejectedUntil time.Time
 	ejections    int
 }
 
 func (h *health) note(now time.Time, r Result) {
-	switch r {
-	case Abandoned:
+	if r == Abandoned {
 		return
+	}
+	h.faults, h.at = h.share(now), now
+	switch r {
 	case Answered:
 		h.faults -= learnShare * h.faults
 		h.inRow, h.ejections = 0, 0
 		h.ejectedUntil = time.Time{}
 		return
-	case Failed, Refused, Unreached, Silent:
+	case Abandoned, Failed, Refused, Unreached, Silent:
 	}
 	h.faults += learnShare * (1 - h.faults)
 	h.inRow++
@@ -69,5 +78,10 @@
 
 func (h *health) out(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
+// share is the part of the target's calls that failed lately.
+func (h *health) share(now time.Time) float64 {
+	return h.faults * math.Exp(-float64(now.Sub(h.at))/float64(faultSpan))
+}
+
 // cost is added to the predicted time of a target that fails calls.
-func (h *health) cost() time.Duration { return scale(faultCost, h.faults) }
+func (h *health) cost(now time.Time) time.Duration { return scale(faultCost, h.share(now)) }
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -21,7 +21,7 @@
 	pauseAfterRefusal = 150 * time.Millisecond
 )
 
-// Regions is what a host knows of the other regions. Its owner serializes the
+// Regions is what a host knows of the other regions. Its owner serialises the
 // calls.
 type Regions struct {
 	regions map[string]*regionView
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -148,7 +148,7 @@
 		out = append(out, TargetDump{
 			ID: t.ID, Service: t.Service, Address: t.Address, State: t.State.String(), Cold: now.Before(t.ColdUntil),
 			Usable: b.usable(now, t), Ejected: t.health.out(now), Flights: t.flights(now),
-			Backlog: int(t.backlog(now, ranksTold)), Rate: t.rate(), FaultRate: t.health.faults,
+			Backlog: int(t.backlog(now, ranksTold)), Rate: t.rate(), FaultRate: t.health.share(now),
 		})
 	}
 	slices.SortFunc(out, func(x, y TargetDump) int { return compareText(x.ID, y.ID) })
--- a/internal/balance/spill.go
+++ b/internal/balance/spill.go
@@ -7,10 +7,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// spillLevel is the part of its targets' capacity that a region uses before it
+// SpillLevel is the part of its targets' capacity that a region uses before it
 // sends work away. Beyond it, prompts that are read hold up the streams that run
 // beside them.
-const spillLevel = 0.35
+const SpillLevel = 0.35
 
 // Flows are what one host, or the hosts of a region together, do for a service,
 // in units of work a second.
@@ -82,7 +82,7 @@
 	if capacity <= 0 || home.Demand <= 0 {
 		return nil
 	}
-	level := max(spillLevel, demand/capacity)
+	level := max(SpillLevel, demand/capacity)
 	over := max(0, home.Demand-level*home.Capacity)
 	free := 0.0
 	for _, b := range others {
--- /dev/null
+++ b/internal/catalogue/catalogue_test.go
@@ -0,0 +1,193 @@
+package catalogue_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+// hand is a clock that is set by hand.
+type hand struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (h *hand) Now() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.now
+}
+
+func (h *hand) After(time.Duration) <-chan time.Time { return make(chan time.Time) }
+
+func (h *hand) advance(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.now = h.now.Add(d)
+}
+
+// plain decodes the entries of the data files: a version at config, "BORN SEQUENCE
+// STATE" at target/ID, and anything at evacuate/DATACENTRE.
+type plain struct{}
+
+func (plain) Decode(key string, value []byte) (catalogue.Statement, error) {
+	kind, name, _ := strings.Cut(key, "/")
+	switch kind {
+	case "config":
+		var version uint64
+		_, err := fmt.Sscan(string(value), &version)
+		return catalogue.Statement{Kind: catalogue.Configuration, Document: route.Document{
+			Version: version, Services: []route.Service{{Name: "desk", ColdStart: 3 * time.Second}},
+		}}, err
+	case "evacuate":
+		return catalogue.Statement{Kind: catalogue.Evacuation, DataCentre: name}, nil
+	case "target":
+		report := catalogue.Report{ID: name, Service: "desk", DataCentre: "n1"}
+		state := ""
+		if _, err := fmt.Sscan(string(value), &report.Born, &report.Sequence, &state); err != nil {
+			return catalogue.Statement{Kind: catalogue.TargetReport, Report: report}, errors.Wrap(err, "report")
+		}
+		if state == "draining" {
+			report.State = catalogue.Draining
+		}
+		return catalogue.Statement{Kind: catalogue.TargetReport, Report: report}, nil
+	default:
+		return catalogue.Statement{}, nil
+	}
+}
+
+type change struct {
+	Key      string
+	Value    string
+	Revision int64
+}
+
+// step is one change and what is to be known after it; nil is not looked at.
+type step struct {
+	AfterMs       int
+	StoreReturned bool
+	Replace       bool
+	Put           []change
+	Delete        []change
+	Revision      int64
+	Version       uint64
+	Targets       map[string]string
+	Evacuated     []string
+	Cold          []string
+}
+
+func (s step) entries() []keyvalue.Entry {
+	var out []keyvalue.Entry
+	for _, c := range s.Put {
+		out = append(out, keyvalue.Entry{Key: c.Key, Value: []byte(c.Value), ModRevision: c.Revision})
+	}
+	return out
+}
+
+func (s step) events() []keyvalue.Event {
+	var out []keyvalue.Event
+	for _, e := range s.entries() {
+		out = append(out, keyvalue.Event{Entry: e})
+	}
+	for _, c := range s.Delete {
+		out = append(out, keyvalue.Event{Entry: keyvalue.Entry{Key: c.Key, ModRevision: c.Revision}, Deleted: true})
+	}
+	return out
+}
+
+func (s step) check(now time.Time, got *catalogue.Snapshot) {
+	if s.Version > 0 {
+		Expect(got.Table.Version()).To(Equal(s.Version))
+	}
+	if s.Targets != nil {
+		states := map[string]string{}
+		for id, t := range got.Targets {
+			states[id] = t.State.String()
+		}
+		Expect(states).To(Equal(s.Targets))
+	}
+	if s.Evacuated != nil {
+		Expect(slices.Sorted(maps.Keys(got.Evacuated))).To(ConsistOf(s.Evacuated))
+	}
+	if s.Cold != nil {
+		var cold []string
+		for id, t := range got.Targets {
+			if now.Before(t.ColdUntil) {
+				cold = append(cold, id)
+			}
+		}
+		Expect(cold).To(ConsistOf(s.Cold))
+	}
+}
+
+var _ = Describe("a catalogue", func() {
+	var clock *hand
+	newCatalogue := func() *catalogue.Catalogue {
+		return catalogue.New(plain{}, map[string]string{"n1": "north"}, catalogue.WithClock(clock))
+	}
+
+	BeforeEach(func() { clock = &hand{now: time.Unix(1000, 0)} })
+
+	data, err := os.ReadFile("testdata/order.json")
+	if err != nil {
+		panic(err)
+	}
+	var cases []struct {
+		Name  string
+		Steps []step
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.Name, func() {
+			known := newCatalogue()
+			for _, s := range c.Steps {
+				clock.advance(time.Duration(s.AfterMs) * time.Millisecond)
+				if s.StoreReturned {
+					known.StoreReturned()
+				}
+				if s.Replace {
+					known.Replace(s.entries(), s.Revision)
+				} else {
+					known.Apply(s.events(), s.Revision)
+				}
+				known.Sweep()
+				s.check(clock.Now(), known.Now())
+			}
+		})
+
+		It(c.Name+", told by another host", func() {
+			source, told := newCatalogue(), newCatalogue()
+			for _, s := range c.Steps {
+				clock.advance(time.Duration(s.AfterMs) * time.Millisecond)
+				if s.Replace {
+					source.Replace(s.entries(), s.Revision)
+				} else {
+					source.Apply(s.events(), s.Revision)
+				}
+				if d, news := source.Since(told.Now().Revision); news {
+					told.Merge(d)
+				}
+				Expect(told.Now().Evacuated).To(Equal(source.Now().Evacuated))
+				Expect(slices.Sorted(maps.Keys(told.Now().Targets))).To(Equal(slices.Sorted(maps.Keys(source.Now().Targets))))
+				for id, t := range source.Now().Targets {
+					Expect(told.Now().Targets[id].State).To(Equal(t.State))
+				}
+			}
+		})
+	}
+})
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -47,29 +47,39 @@
 	return &Follower{catalogue: c, reader: reader, ask: ask, clock: k, log: log, answered: make(chan bool, 1)}
 }
 
+// following is where the duty that reads the store stands.
+type following struct {
+	whole  bool // a whole read comes next
+	failed bool // the last call was not answered
+}
+
 // FollowStore is the duty that reads the store.
 func (f *Follower) FollowStore(ctx context.Context) error {
-	whole, failed := true, false
+	state := following{whole: true}
 	for ctx.Err() == nil {
-		var err error
-		if whole {
-			err = f.readAll(ctx, failed)
-		} else {
-			err = f.readChanges(ctx, failed)
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		f.note(err, failed)
-		kind, _ := failure.KindOf[keyvalue.Kind](err)
-		whole = (whole && err != nil) || (err != nil && kind == keyvalue.Compacted)
-		failed = err != nil && kind != keyvalue.Compacted
+		state = f.step(ctx, state)
 		f.catalogue.Sweep()
-		f.wait(ctx, f.pause(failed))
+		f.wait(ctx, f.pause(state.failed))
 	}
 	return nil
 }
 
+// step makes one call to the store.
+func (f *Follower) step(ctx context.Context, s following) following {
+	read := f.readChanges
+	if s.whole {
+		read = f.readAll
+	}
+	err := read(ctx, s.failed)
+	if ctx.Err() != nil {
+		return s
+	}
+	f.note(err, s.failed)
+	kind, _ := failure.KindOf[keyvalue.Kind](err)
+	compacted := err != nil && kind == keyvalue.Compacted
+	return following{whole: compacted || (s.whole && err != nil), failed: err != nil && !compacted}
+}
+
 func (f *Follower) pause(failed bool) time.Duration {
 	switch {
 	case failed:
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -32,10 +32,10 @@
 	for {
 		line, err := e.from.ReadSlice('\n')
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
+		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
 			continue
 		}
-		if err == io.EOF && len(event) > 0 {
+		if isEnd(err) && len(event) > 0 {
 			return nil, io.ErrUnexpectedEOF
 		}
 		if err != nil {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -148,16 +148,14 @@
 		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 		return
 	}
-	switch string(ctx.RequestURI()) {
-	case pathPeerBoard:
+	switch target := string(ctx.RequestURI()); {
+	case target == pathPeerBoard:
 		g.serveBoard(ctx)
-		return
-	}
-	if strings.HasPrefix(string(ctx.RequestURI()), pathPeerCatalogue) {
+	case strings.HasPrefix(target, pathPeerCatalogue):
 		g.serveCatalogue(ctx)
-		return
+	default:
+		g.serveReceived(ctx)
 	}
-	g.serveReceived(ctx)
 }
 
 // serveReceived runs a call that another host has sent here.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// askPeer reads a JSON answer from another host. It returns false when the host
-// has nothing to say.
-func (g *Gateway) askPeer(ctx context.Context, address, path string, v any) (bool, error) {
+// askPeer reads a JSON answer from another host. It leaves v as it is when the
+// host has nothing to say.
+func (g *Gateway) askPeer(ctx context.Context, address, path string, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
@@ -52,19 +52,19 @@
 	g.sealRequest(request)
 	response, err := g.controls.Do(ctx, address, request)
 	if err != nil {
-		return false, err
+		return err
 	}
 	body, err := response.ReadAll(maxPeerAnswer)
 	if err != nil {
-		return false, err
+		return err
 	}
 	switch response.Status() {
 	case fasthttp.StatusOK:
-		return true, json.Unmarshal(body, v)
+		return json.Unmarshal(body, v)
 	case fasthttp.StatusNoContent:
-		return false, nil
+		return nil
 	default:
-		return false, errors.Errorf("a host answered with status %d", response.Status())
+		return errors.Errorf("a host answered with status %d", response.Status())
 	}
 }
 
@@ -85,7 +85,7 @@
 
 func (g *Gateway) fetchBoard(ctx context.Context, address string) ([]bulletin.Item, error) {
 	var body boardBody
-	_, err := g.askPeer(ctx, address, pathPeerBoard, &body)
+	err := g.askPeer(ctx, address, pathPeerBoard, &body)
 	return body.Items, err
 }
 
@@ -96,8 +96,8 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	difference, any := g.catalogue.Since(after)
-	if !any {
+	difference, news := g.catalogue.Since(after)
+	if !news {
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return
 	}
@@ -124,7 +124,7 @@
 		return catalogue.Difference{}, errors.New("no other host is known")
 	}
 	var d catalogue.Difference
-	_, err := g.askPeer(ctx, choices[rand.IntN(len(choices))].PeerAddress, pathPeerCatalogue+strconv.FormatInt(after, 10), &d)
+	err := g.askPeer(ctx, choices[rand.IntN(len(choices))].PeerAddress, pathPeerCatalogue+strconv.FormatInt(after, 10), &d)
 	return d, err
 }
 
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,97 @@
+package route_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiarack/sequoiarack/internal/route"
+)
+
+func document(version uint64, routes ...route.Route) route.Document {
+	for i := range routes {
+		routes[i].Host, routes[i].MaxAttempts = "shop.example", 1
+		if routes[i].Splits == nil {
+			routes[i].Splits = []route.Split{{Service: "desk", Weight: 1}}
+		}
+	}
+	return route.Document{Version: version, Routes: routes, Services: []route.Service{{Name: "desk"}, {Name: "other"}}}
+}
+
+var _ = Describe("a table", func() {
+	It("finds the longest prefix of the path, with or without a port", func() {
+		table, err := route.NewTable(document(1,
+			route.Route{Name: "short", PathPrefix: "/a/"}, route.Route{Name: "long", PathPrefix: "/a/b/"}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Find("shop.example", "/a/b/c").Name).To(Equal("long"))
+		Expect(table.Find("shop.example:8080", "/a/c").Name).To(Equal("short"))
+		Expect(table.Find("shop.example", "/a")).To(BeNil())
+		Expect(table.Find("other.example", "/a/b/c")).To(BeNil())
+	})
+
+	It("gives the regions that every restricted route of a host allows", func() {
+		table, err := route.NewTable(document(1,
+			route.Route{Name: "a", PathPrefix: "/a/", Homes: []string{"north", "south"}},
+			route.Route{Name: "b", PathPrefix: "/b/"},
+			route.Route{Name: "c", PathPrefix: "/c/", Homes: []string{"south", "west"}}))
+		Expect(err).NotTo(HaveOccurred())
+		homes, restricted := table.Homes("shop.example")
+		Expect(restricted).To(BeTrue())
+		Expect(homes).To(Equal([]string{"south"}))
+	})
+})
+
+var _ = Describe("a route", func() {
+	It("always picks the same service for a call, and by weight over many", func() {
+		r := route.Route{Splits: []route.Split{{Service: "desk", Weight: 90}, {Service: "other", Weight: 10}}}
+		counts := map[string]int{}
+		const calls = 2000
+		for i := range calls {
+			id := fmt.Sprintf("call-%d", i)
+			service := r.Pick(id)
+			Expect(r.Pick(id)).To(Equal(service))
+			counts[service]++
+		}
+		Expect(counts["other"]).To(BeNumerically("~", calls/10, calls/40))
+	})
+
+	It("repeats by its kind only", func() {
+		Expect((&route.Route{Kind: route.Idempotent}).Repeatable()).To(BeTrue())
+		Expect((&route.Route{Kind: route.Once, Resumable: true}).Repeatable()).To(BeFalse())
+		Expect((&route.Route{Kind: route.Stream}).Repeatable()).To(BeFalse())
+		Expect((&route.Route{Kind: route.Stream, Resumable: true}).Repeatable()).To(BeTrue())
+	})
+})
+
+var _ = Describe("the check", func() {
+	data, err := os.ReadFile("testdata/wrong.json")
+	if err != nil {
+		panic(err)
+	}
+	var cases []struct {
+		Name     string
+		Document route.Document
+		Paths    []string
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It("reports "+c.Name, func() {
+			err := route.Check(c.Document)
+			var problems route.Problems
+			Expect(errors.As(err, &problems)).To(BeTrue())
+			var paths []string
+			for _, p := range problems {
+				paths = append(paths, p.Path)
+			}
+			Expect(paths).To(Equal(c.Paths))
+			Expect(strings.Count(problems.Error(), "\n")).To(Equal(len(paths) - 1))
+		})
+	}
+})
