internal/catalogue: count the grace of lapsed entries from the store's return

Only what the first word after an outage says was removed may have lapsed, and it is kept until two seconds after the return.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -30,8 +30,8 @@
 	Decode(key string, value []byte) (Statement, error)
 }
 
-// lapseGrace is how long a target whose entry lapsed in an outage of the store
-// may take to write it again.
+// lapseGrace is how long after the store's return a target whose entry lapsed in
+// the outage may take to write it again.
 const lapseGrace = 2 * time.Second
 
 // Snapshot is the state at one moment. It is immutable.
@@ -53,7 +53,9 @@
 	mu       sync.Mutex
 	entries  map[string]keyvalue.Entry
 	removed  map[string]int64 // revisions of removals
-	outage   time.Time        // end of the last outage of the store
+	// returned is when the store came back, until the first word of it is taken;
+	// what that says was removed may have lapsed in the outage.
+	returned time.Time
 	snapshot atomic.Pointer[Snapshot]
 }
 
@@ -90,7 +92,7 @@
 func (c *Catalogue) StoreReturned() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outage = c.clock.Now()
+	c.returned = c.clock.Now()
 }
 
 // Apply takes changes of the store up to a revision.
@@ -203,6 +205,7 @@
 }
 
 func (c *Catalogue) publish(s *Snapshot) {
+	c.returned = time.Time{}
 	c.snapshot.Store(s)
 	c.changed(s)
 }
@@ -310,9 +313,8 @@
 	if !known {
 		return
 	}
-	now := c.clock.Now()
-	if t.State == Ready && !c.outage.IsZero() && now.Sub(c.outage) < lapseGrace {
-		t.Missing = now
+	if t.State == Ready && !c.returned.IsZero() {
+		t.Missing = c.returned
 		next.Targets[id] = t
 		c.log.Info("The entry of a target lapsed in an outage of the store.", "Target", id)
 		return
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -146,6 +146,7 @@
 			return nil
 		case answered = <-f.answered:
 		case <-f.clock.After(peerPause):
+			f.catalogue.Sweep()
 			if !answered {
 				f.askPeer(ctx)
 			}
--- a/internal/catalogue/target.go
+++ b/internal/catalogue/target.go
@@ -44,7 +44,8 @@
 	Incarnation string
 	// ColdUntil is when the target is no longer cold.
 	ColdUntil time.Time
-	// Missing is when the target's entry vanished, zero while it is there.
+	// Missing is when the store came back without the target's entry, zero while
+	// the entry is there.
 	Missing time.Time
 }
 
