--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -344,6 +344,12 @@
 	}
 }
 
+// Faulty reports whether a target fails so many calls that the calls are not why.
+func (b *Book) Faulty(now time.Time, id string) bool {
+	t := b.targets[id]
+	return t != nil && t.health.share(now) > faultyShare
+}
+
 // Leaves takes a target out of use, as it says of itself.
 func (b *Book) Leaves(id string) {
 	if t := b.targets[id]; t != nil {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -15,6 +15,9 @@
 	toleratedFaults = 2
 	// faultCost is added to the predicted time for a target that always fails.
 	faultCost = 1500 * time.Millisecond
+	// faultyShare is the part of its calls from which a target that fails them is
+	// at fault itself.
+	faultyShare = 0.3
 	// faultSpan is the time in which a target that gets no calls is forgiven most
 	// of its failures.
 	faultSpan = 3 * time.Second
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -50,9 +50,9 @@
 	log     logr.Logger
 	changed func(*Snapshot)
 
-	mu       sync.Mutex
-	entries  map[string]keyvalue.Entry
-	removed  map[string]int64 // revisions of removals
+	mu      sync.Mutex
+	entries map[string]keyvalue.Entry
+	removed map[string]int64 // revisions of removals
 	// returned is when the store came back, until the first word of it is taken;
 	// what that says was removed may have lapsed in the outage.
 	returned time.Time
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// faulty reports whether a target fails so many calls that the calls are not why.
+func (g *Gateway) faulty(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Faulty(g.clock.Now(), id)
+}
+
 // leaves takes a target out of use whose address belongs to another one now.
 func (g *Gateway) leaves(id string) {
 	g.log.Info("Another target has the address.", "Target", id)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,6 +55,7 @@
 	request := fasthttp.AcquireRequest()
 	f.request.Header.CopyTo(&request.Header)
 	request.Header.SetRequestURI(f.call.Target)
+	request.Header.SetNoDefaultContentType(true)
 	request.SetBodyRaw(f.request.Body())
 	h := &request.Header
 	h.Set(headerLeft, strconv.FormatInt(f.left().Milliseconds(), 10))
@@ -187,6 +188,7 @@
 		g.book.Received(g.clock.Now(), f.work)
 		g.mu.Unlock()
 	}
+	stripGateway(h)
 	g.serveFlight(ctx, f)
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -219,6 +219,7 @@
 		return false
 	}
 	f.call.LastEvent, f.maybe = last, true
+	f.away = nil // a region that has served a part of the stream may go on with it
 	again := f.run()
 	if again.source == nil {
 		f.note("not resumed: %s", again.reason)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -58,14 +58,14 @@
 		_, _ = fmt.Fprintf(ctx, "sequoiarack_store_revision %d\nsequoiarack_targets %d\nsequoiarack_calls_running %d\nsequoiarack_hosts %d\n",
 			snapshot.Revision, len(snapshot.Targets), g.inFlight.Load(), len(g.gossip.View().Members))
 	case pathState:
-		g.writeJSON(ctx, g.dump())
+		g.writeJSON(ctx, g.Dump())
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
-// stateDump is the state of the host, for people.
-type stateDump struct {
+// State is the state of the host, for people and tests.
+type State struct {
 	Host      string
 	Region    string
 	Version   uint64
@@ -74,14 +74,18 @@
 	Leaving   bool
 	InFlight  int64
 	Hosts     []member.Info
-	Targets   []balance.TargetDump
-	Regions   []string
+	// Targets are those of the own region.
+	Targets      []balance.TargetDump
+	KnownTargets int
+	Regions      []string
 }
 
-func (g *Gateway) dump() stateDump {
+// Dump returns the state of the host.
+func (g *Gateway) Dump() State {
 	snapshot := g.catalogue.Now()
-	d := stateDump{
-		Host: g.settings.Host, Region: g.settings.Region, Revision: snapshot.Revision, Evacuated: snapshot.Evacuated,
+	d := State{
+		KnownTargets: len(snapshot.Targets),
+		Host:         g.settings.Host, Region: g.settings.Region, Revision: snapshot.Revision, Evacuated: snapshot.Evacuated,
 		Leaving: g.leaving.Load(), InFlight: g.inFlight.Load(), Hosts: g.gossip.View().Members, Regions: g.liveRegions(),
 	}
 	if snapshot.Table != nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,10 +17,11 @@
 const (
 	// maxBodyBytes bounds an answer that is no stream.
 	maxBodyBytes = 8 << 20
-	// patienceFactor and minPatience bound how long a call that may be repeated
-	// waits for the first byte of a target: a multiple of what was predicted.
+	// patienceFactor and patienceShare bound how long a call that may be repeated
+	// waits for the first byte of a target: a multiple of what was predicted, and a
+	// part of the time left, so that a slow answer is not given up for none.
 	patienceFactor = 3
-	minPatience    = 400 * time.Millisecond
+	patienceShare  = 1.0 / 3
 	// lastTryShare is the part of the time left within which a second target must
 	// be expected to answer.
 	lastTryShare = 0.5
@@ -57,7 +58,7 @@
 	t := &try{f: f, exclude: append(slices.Clone(f.tried), id)}
 	t.ctx, t.cancel = context.WithCancel(f.ctx)
 	if !f.received && f.route.Repeatable() && f.sends+1 < f.route.MaxAttempts {
-		t.patience = max(minPatience, patienceFactor*predicted, f.route.Aim)
+		t.patience = max(patienceFactor*predicted, f.route.Aim, scale(f.left(), patienceShare))
 		t.timer = time.AfterFunc(t.patience, t.lookElsewhere)
 	}
 	return t
@@ -187,6 +188,7 @@
 	request := fasthttp.AcquireRequest()
 	f.request.Header.CopyTo(&request.Header)
 	request.Header.SetRequestURI(f.call.Target)
+	request.Header.SetNoDefaultContentType(true)
 	request.SetBodyRaw(f.request.Body())
 	if s.LastEvent == "" {
 		s.LastEvent = f.call.LastEvent
@@ -257,8 +259,9 @@
 	return t.settle(s, status)
 }
 
-// settle ends the send of a whole answer. A failure of the target is passed on
-// unless the call may be repeated.
+// settle ends the send of a whole answer. A failure is the target's answer to the
+// call and passed on, unless the target fails so many that it is at fault itself,
+// and the call may be repeated.
 func (t *try) settle(s *source, status int) (*source, result) {
 	switch {
 	case s.stream != nil:
@@ -266,7 +269,7 @@
 		t.end(balance.Answered)
 	default:
 		t.end(balance.Failed)
-		if t.f.worthRepeating() {
+		if t.f.worthRepeating() && t.f.g.faulty(s.target) {
 			t.f.note("target %s answers %d", s.target, status)
 			return nil, result{outcome: core.Unknown, reason: "a target failed"}
 		}
