internal/gateway: do not name hosts of the region that have fallen silent

A host that misses five shares is not named, unless most are silent. A leaving host takes calls for 2.9 s, as callers may keep an answer for three times its second.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -200,7 +200,10 @@
 		p := t.predict(now, w)
 		again := fromMilliseconds(float64(p.Unread-least) / t.effectiveRate(now))
 		cost := p.Total() + t.health.cost(now) + scale(again, rereadWeight) + scale(stallCost, p.Stalled)
-		cost = b.jitter(cost, t, w)
+		if least == w.Tokens {
+			cost += firstRead(t, w)
+		}
+		cost = b.jitter(cost)
 		if best == nil || cost < bestCost {
 			best, prediction, bestCost = t, p, cost
 		}
@@ -228,17 +231,24 @@
 	jitterShare = 0.15
 	// jitterFloor does the same between targets that are all idle.
 	jitterFloor = 10 * time.Millisecond
-	// homeBonus favours, among equals, the target that a prompt's parts hash to.
-	homeBonus = 120 * time.Millisecond
+	// firstReadCost is the most that it costs to read parts that no target is known
+	// to keep at another one than the target that they hash to.
+	firstReadCost = 20 * time.Millisecond
 )
 
-func (b *Book) jitter(cost time.Duration, t *target, w Work) time.Duration {
-	cost = scale(cost, 1+jitterShare*(b.random.Float64()-0.5)) + scale(jitterFloor, b.random.Float64())
-	if len(w.Parts) > 1 {
-		h := xxhash.Sum64String(t.ID) ^ (w.Parts[len(w.Parts)-2].ID * 0x9e3779b97f4a7c15)
-		cost += time.Duration(h%1024) * homeBonus / 1024
+func (b *Book) jitter(cost time.Duration) time.Duration {
+	return scale(cost, 1+jitterShare*(b.random.Float64()-0.5)) + scale(jitterFloor, b.random.Float64())
+}
+
+// firstRead is the cost of reading parts at a target when no target is known to
+// keep them. It leads all hosts to the same target, also hosts that have restarted
+// and do not know what targets keep.
+func firstRead(t *target, w Work) time.Duration {
+	if len(w.Parts) < 2 {
+		return 0
 	}
-	return cost
+	h := mix(xxhash.Sum64String(t.ID) ^ w.Parts[len(w.Parts)-2].ID)
+	return scale(firstReadCost, 1-float64(h>>11)/(1<<53))
 }
 
 // serving returns the usable targets of a service in order of ID. It leaves out
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,7 @@
 	headerTimeout = 30 * time.Second
 	// noticeTime is how long a leaving host goes on taking calls, so that callers
 	// learn of other hosts. What it takes later may not end before the host must.
-	noticeTime = 2500 * time.Millisecond
+	noticeTime = 2900 * time.Millisecond
 	// idleCheck is the pause between two looks for running calls of a leaving host.
 	idleCheck = 20 * time.Millisecond
 	// stopMargin is kept of the time to stop for the end of the process itself.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -19,6 +19,9 @@
 	silenceAfter = 3 * time.Second
 	// lostPause is how long a host is not asked after a call to it was lost.
 	lostPause = 2 * time.Second
+	// mateSilence is how long a host of the region may be silent before callers are
+	// no longer told of it: several pauses between two of its shares.
+	mateSilence = 5
 	// settleTime is what a host that has started takes to hear of the others,
 	// and aloneTime what it takes to believe that there are none.
 	settleTime = 3 * time.Second
@@ -80,16 +83,38 @@
 	g.regions.Lost(now, region)
 }
 
+// silentMates returns the hosts of the region that have stopped to tell of their
+// load. When most of them have, the host itself is more likely cut off, and none is
+// returned.
+func (g *Gateway) silentMates() map[string]bool {
+	mates, _ := g.listeners()
+	limit := mateSilence * sharePause(len(mates))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	silent := map[string]bool{}
+	for _, m := range mates {
+		if h, ok := g.heard[m.Host]; ok && m.InUse() && now.Sub(h.at) > limit {
+			silent[m.Host] = true
+		}
+	}
+	if 2*len(silent) > len(mates) {
+		return nil
+	}
+	return silent
+}
+
 // updateHosts tells the book which hosts of the region there are.
 func (g *Gateway) updateHosts() {
 	view := g.gossip.View()
+	silent := g.silentMates()
 	h := balance.Hosts{Self: g.settings.Host}
 	for _, m := range view.Members {
 		if m.Region != g.settings.Region || m.Status == member.Gone {
 			continue
 		}
 		h.Known++
-		if m.InUse() {
+		if m.InUse() && !silent[m.Host] {
 			h.Live = append(h.Live, m.Host)
 		}
 	}
@@ -139,8 +164,9 @@
 	homes, restricted := g.homes(q.Name)
 	near := map[string][]string{} // by data centre
 	here := map[string][]string{} // by region
+	silent := g.silentMates()
 	for _, m := range g.gossip.View().Members {
-		if !m.InUse() || !live[m.Region] {
+		if !m.InUse() || !live[m.Region] || silent[m.Host] {
 			continue
 		}
 		near[m.DataCentre] = append(near[m.DataCentre], m.CallerAddress)
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -44,15 +44,19 @@
 		g.updateHosts()
 		mates, others := g.listeners()
 		g.share(mates, others)
-		pause := max(minSharePause, time.Duration(len(mates))*sharePausePerIn)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-g.clock.After(pause):
+		case <-g.clock.After(sharePause(len(mates))):
 		}
 	}
 }
 
+// sharePause is the pause between two shares in a region with so many other hosts.
+func sharePause(mates int) time.Duration {
+	return max(minSharePause, time.Duration(mates)*sharePausePerIn)
+}
+
 // listeners returns the hosts of the region, and some of each other region.
 func (g *Gateway) listeners() (mates, others []member.Info) {
 	regions := map[string][]member.Info{}
