internal/gateway: do not take a stream from a target that pauses

Silence ends no stream any more, and what was begun is never refused for its wait.

Tried and reverted: to send long answers where streams run fast, and to refuse what is not expected to end in time, by the callers' estimates of the length.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -242,6 +242,12 @@
 		Expect(balance.Decide(q).Local).To(BeFalse())
 	})
 
+	It("brings to its end what was begun, however long the wait", func() {
+		q := question(local(3*time.Second, 100*time.Millisecond, gap))
+		q.Begun = true
+		Expect(balance.Decide(q).Local).To(BeTrue())
+	})
+
 	It("goes to the region that keeps its parts while that is in good time", func() {
 		q := question(local(0, 100*time.Millisecond, 0), idle)
 		q.Keeper = "south"
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -72,6 +72,8 @@
 	// until the caller gives up.
 	Aim  time.Duration
 	Left time.Duration
+	// Begun tells that the call may have run, and is only to be brought to its end.
+	Begun bool
 	// Typical is the usual own time of calls like this one.
 	Typical time.Duration
 	// Spread is a number from 0 to 1 that differs from call to call.
@@ -95,6 +97,9 @@
 // would wait so long that calls of its size are late everywhere is refused.
 func Decide(q Question) Answer {
 	limit := q.limit()
+	if q.Begun && q.Here {
+		return Answer{Local: true, Reason: "what was begun goes on"}
+	}
 	if a, ok := q.keeper(); ok {
 		return a
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -123,7 +123,7 @@
 	left := f.deadline.Sub(now)
 	q := balance.Question{
 		Aim: max(0, f.route.Aim-now.Sub(f.began)), Left: left,
-		Typical: f.g.typical(f.route.Name), Spread: f.g.random(),
+		Typical: f.g.typical(f.route.Name), Spread: f.g.random(), Begun: f.maybe,
 	}
 	if f.maybe {
 		q.Aim = 0 // late as it is, any answer counts
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -19,10 +19,6 @@
 	defaultTimeout = 60 * time.Second
 	// writeMargin is how long after a call's end its caller may take to read.
 	writeMargin = time.Second
-	// patientGaps is how many of the route's longest pauses a stream that may be
-	// resumed may pause before it is resumed elsewhere; minGap bounds it below.
-	patientGaps = 2
-	minGap      = 600 * time.Millisecond
 )
 
 // serveCaller serves one request of a caller.
@@ -192,7 +188,6 @@
 
 // next reads the next event, if need be from another target.
 func (r *relay) next() ([]byte, error) {
-	r.s.try.expect(max(minGap, patientGaps*r.f.route.MaxGap))
 	began := r.f.g.clock.Now()
 	event, err := r.s.stream.next()
 	r.s.try.event(r.f.g.clock.Now().Sub(began))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -90,14 +90,6 @@
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
-// expect restarts the patience for the next event of a stream.
-func (t *try) expect(d time.Duration) {
-	if t.timer != nil {
-		t.patience = d
-		t.timer.Reset(d)
-	}
-}
-
 // firstByte notes that the target has begun to answer.
 func (t *try) firstByte() {
 	if t.timer != nil {
