internal/gateway: name hosts of the homes of most routes; ask peers while the store fails

Regions are ordered by how many of the name's restricted routes they may serve. - A host whose store failed at once never asked its peers: each failed call put the question off again.

--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -140,12 +140,14 @@
 // answer.
 func (f *Follower) FollowPeers(ctx context.Context) error {
 	answered := false
+	tick := f.clock.After(peerPause)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case answered = <-f.answered:
-		case <-f.clock.After(peerPause):
+		case <-tick:
+			tick = f.clock.After(peerPause)
 			f.catalogue.Sweep()
 			if !answered {
 				f.askPeer(ctx)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -154,17 +157,47 @@
 }
 
 // named returns the caller addresses of the hosts that a caller is to use: those
-// of its data centre or region, and else those nearest to this host that may take
-// what it sends.
+// of its data centre or region, and else those of the region that may serve most
+// of what it sends.
 func (g *Gateway) named(q Question) []string {
+	near, here := g.callerAddresses()
+	if own := near[q.DataCentre]; len(own) >= minNear {
+		return own[:min(len(own), maxNamed)]
+	}
+	regions := slices.Sorted(maps.Keys(here))
+	homes := g.homes(q.Name)
+	slices.SortStableFunc(regions, func(a, b string) int {
+		return cmp.Or(first(a == q.Region, b == q.Region), cmp.Compare(homes[b], homes[a]),
+			first(a == g.settings.Region, b == g.settings.Region))
+	})
+	if len(regions) == 0 {
+		return nil
+	}
+	own := here[regions[0]]
+	return own[:min(len(own), maxNamed)]
+}
+
+// first orders what has a quality before what has not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// callerAddresses returns where callers connect to the hosts that are in use, by
+// data centre and by region.
+func (g *Gateway) callerAddresses() (near, here map[string][]string) {
 	live := map[string]bool{g.settings.Region: true}
 	for _, region := range g.liveRegions() {
 		live[region] = true
 	}
-	homes, restricted := g.homes(q.Name)
-	near := map[string][]string{} // by data centre
-	here := map[string][]string{} // by region
 	silent := g.silentMates()
+	near, here = map[string][]string{}, map[string][]string{}
 	for _, m := range g.gossip.View().Members {
 		if !m.InUse() || !live[m.Region] || silent[m.Host] {
 			continue
@@ -172,28 +205,14 @@
 		near[m.DataCentre] = append(near[m.DataCentre], m.CallerAddress)
 		here[m.Region] = append(here[m.Region], m.CallerAddress)
 	}
-	if own := near[q.DataCentre]; len(own) >= minNear {
-		return own[:min(len(own), maxNamed)]
-	}
-	if own := here[q.Region]; len(own) > 0 {
-		return own[:min(len(own), maxNamed)]
-	}
-	if own := here[g.settings.Region]; len(own) > 0 && (!restricted || contains(homes, g.settings.Region)) {
-		return own[:min(len(own), maxNamed)]
-	}
-	for _, region := range homes {
-		if own := here[region]; len(own) > 0 {
-			return own[:min(len(own), maxNamed)]
-		}
-	}
-	own := here[g.settings.Region]
-	return own[:min(len(own), maxNamed)]
+	return near, here
 }
 
-func (g *Gateway) homes(name string) ([]string, bool) {
+// homes returns how many restricted routes of a name each region may serve.
+func (g *Gateway) homes(name string) map[string]int {
 	table := g.catalogue.Now().Table
 	if table == nil {
-		return nil, false
+		return nil
 	}
 	return table.Homes(name)
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -62,20 +62,16 @@
 // Service returns a service of the configuration, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Homes returns the regions that every route of a host may be served in, and
-// whether its routes restrict them at all.
-func (t *Table) Homes(host string) (regions []string, restricted bool) {
+// Homes returns how many of a host's routes each region may serve, of those that
+// are not open to all.
+func (t *Table) Homes(host string) map[string]int {
+	counts := map[string]int{}
 	for _, r := range t.hosts[host] {
-		if len(r.Homes) == 0 {
-			continue
+		for _, region := range r.Homes {
+			counts[region]++
 		}
-		if !restricted {
-			regions, restricted = slices.Clone(r.Homes), true
-			continue
-		}
-		regions = slices.DeleteFunc(regions, func(region string) bool { return !r.MayServe(region) })
 	}
-	return regions, restricted
+	return counts
 }
 
 // Pick returns the service for a call by the route's weights. The same call ID
