--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -115,9 +115,15 @@
 	if away, ok := q.nearest(limit); ok && (!open || away.Total()+awayGain < local.Total()) {
 		return Answer{Region: away.Region, Reason: "sooner in another region"}
 	}
-	switch {
-	case open && local.Wait <= limit:
+	if open && local.Wait <= limit {
 		return Answer{Local: true, Reason: "within the wait that is allowed"}
+	}
+	return q.refuse(full, limit)
+}
+
+// refuse says why a call is begun nowhere, and when its caller is to come back.
+func (q Question) refuse(full bool, limit time.Duration) Answer {
+	switch {
 	case full:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the streams pause for too long"}
 	case !q.Here && len(q.Away) == 0:
