--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+)
+
+// FuzzEvents holds that events are passed on whole: what is read is the start of the
+// stream, ends with an empty line, and does not depend on how the bytes arrive.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndat"))
+	f.Add([]byte("\n\n\n: comment\n\ndata\n\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		whole, err := readEvents(newEvents(bytes.NewReader(stream)))
+		byByte, errByByte := readEvents(newEvents(iotest.OneByteReader(bytes.NewReader(stream))))
+		if !bytes.Equal(whole, byByte) || isEnd(err) != isEnd(errByByte) {
+			t.Fatalf("%q (%v) and %q (%v)", whole, err, byByte, errByByte)
+		}
+		if !bytes.HasPrefix(stream, whole) {
+			t.Fatalf("%q is not the start of %q", whole, stream)
+		}
+		if isEnd(err) && len(whole) != len(stream) {
+			t.Fatalf("a stream looks whole after %d of %d bytes", len(whole), len(stream))
+		}
+	})
+}
+
+func readEvents(e *events) ([]byte, error) {
+	var out []byte
+	for {
+		event, err := e.next()
+		if err != nil {
+			return out, err
+		}
+		if !isBlank(event[bytes.LastIndexByte(event[:len(event)-1], '\n')+1:]) {
+			return out, io.ErrNoProgress
+		}
+		out = append(out, event...)
+	}
+}
