internal/balance: move what is known of a service to a file of its own

A repeat that goes to another region is taken out of the budget for repeats like any other; before, only the host there counted it, as a first send.

--- /dev/null
+++ b/internal/balance/service.go
@@ -0,0 +1,126 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// pace returns the pace of a service's targets.
+func (b *Book) pace(service string) *pace {
+	p := b.paces[service]
+	if p == nil {
+		p = &pace{rate: initialRate}
+		b.paces[service] = p
+	}
+	return p
+}
+
+func (b *Book) flows(service string) *serviceFlows {
+	f := b.own[service]
+	if f == nil {
+		f = &serviceFlows{}
+		b.own[service] = f
+	}
+	return f
+}
+
+// regionFlows sums the flows of all hosts of the region.
+func (b *Book) regionFlows(now time.Time, service string) Flows {
+	sum := b.flows(service).now(now)
+	for _, o := range b.others {
+		if now.Sub(o.at) < shareAge {
+			sum = sum.plus(o.flows[service])
+		}
+	}
+	return sum
+}
+
+// Spilled counts a call that was sent away for want of capacity, Received one
+// that came for that reason.
+func (b *Book) Spilled(now time.Time, w Work) {
+	b.flows(w.Service).spilled.add(now, b.size(w))
+}
+
+// Received counts a call that came from another region for want of capacity.
+func (b *Book) Received(now time.Time, w Work) {
+	b.flows(w.Service).received.add(now, b.size(w))
+}
+
+// size is the work of a call before its target is known, in the units of the
+// flows: tokens to read, or milliseconds.
+func (b *Book) size(w Work) float64 {
+	if w.Tokens > 0 {
+		return float64(w.Tokens) * unreadShare
+	}
+	return milliseconds(initialSpan)
+}
+
+// unreadShare is the part of a prompt that targets usually have to read.
+const unreadShare = 0.7
+
+// Basin returns the region's demand and capacity for a service.
+func (b *Book) Basin(now time.Time, service string) Basin {
+	out := Basin{Region: b.region, Demand: b.regionFlows(now, service).Demand()}
+	for _, t := range b.targets {
+		if t.Service == service && b.usable(now, t) && !t.health.out(now) {
+			out.Capacity += t.capacity()
+			out.Targets++
+		}
+	}
+	return out
+}
+
+// ServiceState is what a region can do for a service.
+type ServiceState struct {
+	Targets int `json:"Targets"`
+	// WaitMs are the waits for calls of rank 0 and of the others.
+	WaitMs [2]int `json:"WaitMs"`
+	// Rate is the prompt tokens that all targets read in a millisecond.
+	Rate int `json:"Rate"`
+	// SpanMs is the time of a call without a prompt.
+	SpanMs int `json:"SpanMs"`
+	// PauseMs is the mean pause between the events of streams.
+	PauseMs int `json:"PauseMs"`
+	// Demand and Capacity are in units of work a second.
+	Demand   int `json:"Demand"`
+	Capacity int `json:"Capacity"`
+}
+
+// States returns what the region can do for each service.
+func (b *Book) States(now time.Time) map[string]ServiceState {
+	services := map[string][]*target{}
+	for _, t := range b.targets {
+		if b.usable(now, t) && !t.health.out(now) {
+			services[t.Service] = append(services[t.Service], t)
+		}
+	}
+	out := map[string]ServiceState{}
+	for name, list := range services {
+		out[name] = b.state(now, list)
+	}
+	return out
+}
+
+func (b *Book) state(now time.Time, list []*target) ServiceState {
+	s := ServiceState{Targets: len(list)}
+	var spans time.Duration
+	rate := 0.0
+	for _, t := range list {
+		spans += t.span
+		rate += t.effectiveRate(now)
+	}
+	s.PauseMs = int(meanPause(now, list).Milliseconds())
+	for rank := range s.WaitMs {
+		waits := make([]time.Duration, 0, len(list))
+		for _, t := range list {
+			waits = append(waits, t.predict(now, Work{Rank: rank, Tokens: 1}).Wait)
+		}
+		slices.Sort(waits)
+		s.WaitMs[rank] = int(waits[(len(waits)-1)/3].Milliseconds())
+	}
+	basin := b.Basin(now, list[0].Service)
+	s.Demand, s.Capacity = int(basin.Demand), int(basin.Capacity)
+	s.Rate = int(rate)
+	s.SpanMs = int((spans / time.Duration(len(list))).Milliseconds())
+	return s
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -120,9 +121,8 @@
 // decide asks the books where the call goes next.
 func (f *flight) decide() (balance.Answer, balance.Choice) {
 	now := f.g.clock.Now()
-	left := f.deadline.Sub(now)
 	q := balance.Question{
-		Aim: max(0, f.route.Aim-now.Sub(f.began)), Left: left,
+		Aim: max(0, f.route.Aim-now.Sub(f.began)), Left: f.deadline.Sub(now), Work: f.work,
 		Typical: f.g.typical(f.route.Name), Spread: f.g.random(), Begun: f.maybe,
 	}
 	if f.maybe {
@@ -134,7 +134,6 @@
 	if f.route.MayServe(f.g.settings.Region) {
 		q.Local, q.Here = f.g.book.Choose(now, f.work, f.tried)
 	}
-	q.Work = f.work
 	if !f.received {
 		q.Away = f.g.regions.Options(now, regions, f.work, !q.Here)
 	}
@@ -160,7 +159,7 @@
 	}
 	var out []string
 	for _, region := range f.g.liveRegions() {
-		if f.route.MayServe(region) && !contains(f.away, region) {
+		if f.route.MayServe(region) && !slices.Contains(f.away, region) {
 			out = append(out, region)
 		}
 	}
@@ -170,15 +169,6 @@
 // maxAway bounds the regions that one call is sent to.
 const maxAway = 2
 
-func contains(list []string, item string) bool {
-	for _, known := range list {
-		if known == item {
-			return true
-		}
-	}
-	return false
-}
-
 const (
 	// retryAtOnce is when a caller is to come back after a refusal that another
 	// try may not meet.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -36,6 +36,9 @@
 		f.g.lostRegion(region)
 		return nil, result{outcome: core.NotRun, reason: "no host of region " + region}
 	}
+	if f.sends > 0 && !f.countSend() {
+		return nil, result{outcome: f.outcomeSoFar(), reason: "the budget for repeats is spent", last: true}
+	}
 	f.g.mu.Lock()
 	f.g.regions.Sent(f.g.clock.Now(), region, f.work)
 	f.g.mu.Unlock()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -53,7 +53,7 @@
 	now := g.clock.Now()
 	var out []string
 	for _, h := range g.heard {
-		if h.region != g.settings.Region && now.Sub(h.at) < silenceAfter && !contains(out, h.region) {
+		if h.region != g.settings.Region && now.Sub(h.at) < silenceAfter && !slices.Contains(out, h.region) {
 			out = append(out, h.region)
 		}
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -84,7 +84,7 @@
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
 	choice, ok := f.g.book.Choose(now, f.work, exclude)
-	return ok && !contains(exclude, choice.Target.ID) && f.g.budget(f.service).Left(now) >= 1 &&
+	return ok && !slices.Contains(exclude, choice.Target.ID) && f.g.budget(f.service).Left(now) >= 1 &&
 		choice.Prediction.Total() < scale(f.left(), lastTryShare)
 }
 
