--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
 	"slices"
@@ -154,14 +155,6 @@
 	}
 }
 
-// Forget drops the share of a host that is no longer there.
-func (b *Book) Forget(host string) {
-	delete(b.others, host)
-	for _, t := range b.targets {
-		delete(t.shares, host)
-	}
-}
-
 // rounded drops the fractions, which nobody needs to be told.
 func (f Flows) rounded() Flows {
 	return Flows{Begun: math.Round(f.Begun), Spilled: math.Round(f.Spilled), Received: math.Round(f.Received)}
@@ -192,17 +185,6 @@
 			Backlog: int(t.backlog(now, ranksTold)), Rate: t.rate(), FaultRate: t.health.share(now),
 		})
 	}
-	slices.SortFunc(out, func(x, y TargetDump) int { return compareText(x.ID, y.ID) })
+	slices.SortFunc(out, func(x, y TargetDump) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -12,7 +12,6 @@
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
 	"github.com/sequoiarack/sequoiarack/internal/member"
-	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
 // Headers between hosts.
@@ -55,11 +54,7 @@
 }
 
 func (f *flight) prepareAway() *fasthttp.Request {
-	request := fasthttp.AcquireRequest()
-	f.request.Header.CopyTo(&request.Header)
-	request.Header.SetRequestURI(f.call.Target)
-	request.Header.SetNoDefaultContentType(true)
-	request.SetBodyRaw(f.request.Body())
+	request := f.copyRequest()
 	h := &request.Header
 	h.Set(headerLeft, strconv.FormatInt(f.left().Milliseconds(), 10))
 	h.Set(headerAge, strconv.FormatInt(f.g.clock.Now().Sub(f.began).Milliseconds(), 10))
@@ -111,10 +106,7 @@
 		return nil, result{outcome: outcome, reason: reason}
 	}
 	f.sends++
-	s := &source{response: response, target: host.Host + "/" + response.Get(headerTarget), try: t}
-	if f.route.Kind == route.Stream && response.Status() == fasthttp.StatusOK {
-		s.stream = newEvents(response)
-	}
+	s := t.newSource(response, host.Host+"/"+response.Get(headerTarget))
 	if err := s.begin(); err != nil {
 		t.end(balance.Abandoned)
 		f.note("host %s: %v", host.Host, err)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -88,12 +88,9 @@
 		f.cancel()
 	}
 	answer := f.run()
-	if f.received {
-		h := &ctx.Response.Header
-		h.Set(headerTook, strconv.FormatInt(g.clock.Now().Sub(f.arrival).Milliseconds(), 10))
-	}
 	if answer.source == nil {
 		g.writeOwn(ctx, answer)
+		f.writeTook(&ctx.Response.Header)
 		f.logEnd(answer.status, answer.outcome, answer.reason)
 		end()
 		return
@@ -101,6 +98,13 @@
 	f.writeAnswer(ctx, answer, end)
 }
 
+// writeTook tells another host how long its call took here.
+func (f *flight) writeTook(h *fasthttp.ResponseHeader) {
+	if f.received {
+		h.Set(headerTook, strconv.FormatInt(f.g.clock.Now().Sub(f.arrival).Milliseconds(), 10))
+	}
+}
+
 // writeOwn writes an answer of the host itself.
 func (g *Gateway) writeOwn(ctx *fasthttp.RequestCtx, r reply) {
 	ctx.SetStatusCode(r.status)
@@ -140,7 +144,7 @@
 	if f.received {
 		h.Set(core.HeaderOutcome, core.Run.String())
 		h.Set(headerTarget, s.target)
-		h.Set(headerTook, strconv.FormatInt(f.g.clock.Now().Sub(f.arrival).Milliseconds(), 10))
+		f.writeTook(h)
 	} else {
 		for _, name := range []string{core.HeaderOutcome, headerTarget, headerTook, headerReason} {
 			h.Del(name)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -40,16 +40,10 @@
 	at          time.Time
 }
 
-// liveRegions returns the other regions from which there was word lately. The
-// caller need not hold the lock.
+// liveRegions returns the other regions from which there was word lately.
 func (g *Gateway) liveRegions() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.regionsHeard()
-}
-
-// regionsHeard is liveRegions for a caller that holds the lock.
-func (g *Gateway) regionsHeard() []string {
 	now := g.clock.Now()
 	var out []string
 	for _, h := range g.heard {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -95,6 +95,15 @@
 	if t.timer != nil {
 		t.timer.Stop()
 	}
+	t.tell(func(now time.Time, b *balance.Book) {
+		b.First(now, t.handle)
+		t.f.g.learnTypical(t.f.route.Name, t.choice.Prediction.Own)
+	})
+}
+
+// tell notes in the book what came of a send to a target. A send to another region
+// is noted by the host there.
+func (t *try) tell(note func(now time.Time, b *balance.Book)) {
 	if t.handle == nil {
 		return
 	}
@@ -102,20 +111,12 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.First(now, t.handle)
-	g.learnTypical(t.f.route.Name, t.choice.Prediction.Own)
+	note(now, g.book)
 }
 
 // event notes the pause before an event of a stream.
 func (t *try) event(pause time.Duration) {
-	if t.handle == nil {
-		return
-	}
-	g := t.f.g
-	now := g.clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.book.Event(now, t.handle, pause)
+	t.tell(func(now time.Time, b *balance.Book) { b.Event(now, t.handle, pause) })
 }
 
 // end frees what the send holds and notes how it ended.
@@ -124,14 +125,7 @@
 		t.timer.Stop()
 	}
 	t.cancel()
-	if t.handle == nil {
-		return
-	}
-	g := t.f.g
-	now := g.clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.book.End(now, t.handle, r)
+	t.tell(func(now time.Time, b *balance.Book) { b.End(now, t.handle, r) })
 }
 
 // sendLocal sends the call to a target of the own region.
@@ -175,13 +169,19 @@
 	return core.NotRun
 }
 
-// prepare copies the caller's request for a target.
-func (f *flight) prepare(s Send) *fasthttp.Request {
+// copyRequest returns a copy of the caller's request, to be released by its user.
+func (f *flight) copyRequest() *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
 	f.request.Header.CopyTo(&request.Header)
 	request.Header.SetRequestURI(f.call.Target)
 	request.Header.SetNoDefaultContentType(true)
 	request.SetBodyRaw(f.request.Body())
+	return request
+}
+
+// prepare copies the caller's request for a target.
+func (f *flight) prepare(s Send) *fasthttp.Request {
+	request := f.copyRequest()
 	if s.LastEvent == "" {
 		s.LastEvent = f.call.LastEvent
 	}
@@ -201,12 +201,18 @@
 		return result{outcome: core.NotRun, reason: "no connection to a target"}
 	}
 	f.sends++
+	return t.silent("a target did not answer")
+}
+
+// silent ends a send that may have run and brought no whole answer. A target that
+// was not given up by the host itself may have died of the call.
+func (t *try) silent(reason string) result {
 	hasted := t.ctx.Err() != nil
 	t.end(t.resultOf(balance.Silent))
 	if !hasted {
-		f.g.suspect(f.digest, target)
+		t.f.g.suspect(t.f.digest, t.choice.Target)
 	}
-	return result{outcome: core.Unknown, reason: "a target did not answer"}
+	return result{outcome: core.Unknown, reason: reason}
 }
 
 // resultOf returns how a send ended that brought r: nothing that a target can
@@ -234,18 +240,10 @@
 		f.note("target %s: an answer without a seal", target.ID)
 		return nil, result{outcome: core.Unknown, reason: "what came is no answer of a target"}
 	}
-	s := &source{response: response, target: target.ID, try: t}
-	if f.route.Kind == route.Stream && status == fasthttp.StatusOK {
-		s.stream = newEvents(response)
-	}
+	s := t.newSource(response, target.ID)
 	if err := s.begin(); err != nil {
-		hasted := t.ctx.Err() != nil
-		t.end(t.resultOf(balance.Silent))
 		f.note("target %s: %v", target.ID, err)
-		if !hasted {
-			f.g.suspect(f.digest, target)
-		}
-		return nil, result{outcome: core.Unknown, reason: "an answer broke off"}
+		return nil, t.silent("an answer broke off")
 	}
 	t.firstByte()
 	return t.settle(s, status)
@@ -289,6 +287,15 @@
 	return !f.received && f.route.Repeatable() && f.sends < f.route.MaxAttempts && f.ctx.Err() == nil
 }
 
+// newSource returns the answer of a target, or of the host that relays it.
+func (t *try) newSource(response *exchange.Response, from string) *source {
+	s := &source{response: response, target: from, try: t}
+	if t.f.route.Kind == route.Stream && response.Status() == fasthttp.StatusOK {
+		s.stream = newEvents(response)
+	}
+	return s
+}
+
 // begin reads a whole body, or a stream up to its first event.
 func (s *source) begin() error {
 	if s.stream == nil {
