internal/gateway: log the first byte and the longest pause of a call

Cause: the line of a call's end did not say what made a stream late, its first event or a pause; on a grown site a third of the long streams are late and the lines could not be told apart. Ruled out: reading it from the whole time, which says neither. Conclusion: the line bears both times.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,10 @@
 	tried   []string
 	away    []string // regions that were asked
 	notes   []string // what was decided and what came of it, for the log
+	// firstByte is when the answer began, and longestPause the longest wait for one
+	// of its events, for the log.
+	firstByte    time.Time
+	longestPause time.Duration
 	maybe   bool     // a send may have run
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -194,7 +194,9 @@
 func (r *relay) next() ([]byte, error) {
 	began := r.f.g.clock.Now()
 	event, err := r.s.stream.next()
-	r.s.try.event(r.f.g.clock.Now().Sub(began))
+	pause := r.f.g.clock.Now().Sub(began)
+	r.s.try.event(pause)
+	r.f.longestPause = max(r.f.longestPause, pause)
 	for err != nil && !isEnd(err) {
 		r.f.note("stream of %s after event %q: %v", r.s.target, r.s.stream.last, err)
 		if !r.resume() {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -95,6 +95,9 @@
 	if t.timer != nil {
 		t.timer.Stop()
 	}
+	if t.f.firstByte.IsZero() {
+		t.f.firstByte = t.f.g.clock.Now()
+	}
 	t.tell(func(now time.Time, b *balance.Book) {
 		b.First(now, t.handle)
 		t.f.g.learnTypical(t.f.route.Name, t.choice.Prediction.Own)
