internal/catalogue: read the store through one host of a data centre

Ruled out: a longer pause between looks, which makes both later. Now one host of a data centre reads and tells the others what says something new; who is not told for 1.4 s reads itself; what an operator wrote is also told to the readers of the other data centres.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -98,11 +98,11 @@
 	if !b.hosts.Settled || 2*len(b.hosts.Live) <= b.hosts.Known || !t.cold.allows(now) {
 		return false
 	}
-	return first(b.hosts.Live, t.ID) == b.hosts.Self
+	return First(b.hosts.Live, t.ID) == b.hosts.Self
 }
 
-// first returns the name with the highest hash together with the key.
-func first(names []string, key string) string {
+// First returns the name with the highest hash together with the key.
+func First(names []string, key string) string {
 	best, rank := "", uint64(0)
 	for _, name := range names {
 		if r := xxhash.Sum64String(name + "\x00" + key); best == "" || r > rank || (r == rank && name < best) {
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -95,19 +95,26 @@
 	c.returned = c.clock.Now()
 }
 
-// Apply takes changes of the store up to a revision.
-func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) {
+// Apply takes changes of the store up to a revision, and returns those that say
+// something new: most are targets that write again that all is as it was.
+func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := c.next(revision)
+	var news []keyvalue.Event
 	for _, e := range events {
+		said := false
 		if e.Deleted {
-			c.remove(next, e.Key, e.ModRevision)
+			said = c.remove(next, e.Key, e.ModRevision)
 		} else {
-			c.put(next, e.Entry)
+			said = c.put(next, e.Entry)
+		}
+		if said {
+			news = append(news, e)
 		}
 	}
 	c.publish(next)
+	return news
 }
 
 // Replace takes a whole read of the store at a revision: what is not in it was
@@ -210,10 +217,11 @@
 	c.changed(s)
 }
 
-// put takes one entry unless something newer is known of its key.
-func (c *Catalogue) put(next *Snapshot, e keyvalue.Entry) {
+// put takes one entry unless something newer is known of its key, and reports
+// whether it says something new.
+func (c *Catalogue) put(next *Snapshot, e keyvalue.Entry) bool {
 	if c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision {
-		return
+		return false
 	}
 	c.entries[e.Key] = e
 	delete(c.removed, e.Key)
@@ -223,18 +231,26 @@
 		if statement.Kind == TargetReport {
 			delete(next.Targets, statement.Report.ID)
 		}
-		return
+		return true
 	}
 	switch statement.Kind {
 	case Configuration:
 		c.configure(next, statement.Document, e.ModRevision)
 	case TargetReport:
-		c.report(next, statement.Report)
+		return c.report(next, statement.Report)
 	case Evacuation:
 		next.Evacuated[statement.DataCentre] = true
 		c.log.Info("A data centre is evacuated.", "DataCentre", statement.DataCentre, "Revision", e.ModRevision)
 	case Nothing:
+		return false
 	}
+	return true
+}
+
+// KindOf returns the kind of the entry that an event is of.
+func (c *Catalogue) KindOf(e keyvalue.Event) Kind {
+	statement, _ := c.decoder.Decode(e.Key, e.Value) // the kind is known also when the value is wrong
+	return statement.Kind
 }
 
 // configure adopts a configuration only if its version is higher.
@@ -251,11 +267,12 @@
 	c.log.Info("A configuration is in force.", "Version", d.Version, "Revision", revision, "Routes", table.Routes())
 }
 
-func (c *Catalogue) report(next *Snapshot, r Report) {
+// report takes the report of a target, and reports whether it says something new.
+func (c *Catalogue) report(next *Snapshot, r Report) bool {
 	old, known := next.Targets[r.ID]
 	sameStart := known && old.Born == r.Born
 	if known && (r.Born < old.Born || (sameStart && r.Sequence < old.Sequence)) {
-		return
+		return false
 	}
 	if sameStart && old.State == Draining {
 		r.State = Draining // leaving is for good
@@ -270,13 +287,14 @@
 			"State", r.State.String(), "ColdMs", r.Cold.Milliseconds(), "Born", r.Born)
 	}
 	next.Targets[r.ID] = t
+	return !known || !old.Missing.IsZero() || r.saysMoreThan(old.Report)
 }
 
-// remove takes the removal of a key.
-func (c *Catalogue) remove(next *Snapshot, key string, revision int64) {
+// remove takes the removal of a key, and reports whether it was there.
+func (c *Catalogue) remove(next *Snapshot, key string, revision int64) bool {
 	e, known := c.entries[key]
 	if !known || e.ModRevision >= revision {
-		return
+		return false
 	}
 	delete(c.entries, key)
 	c.removed[key] = revision
@@ -290,6 +308,7 @@
 		c.chill(next, statement.DataCentre)
 	case Configuration, Nothing:
 	}
+	return true
 }
 
 // chill takes the targets of a data centre that is used again for cold, until
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -190,4 +190,22 @@
 			}
 		})
 	}
+
+	It("says which changes say something new", func() {
+		known := newCatalogue()
+		put := func(revision int64, key, value string) []keyvalue.Event {
+			return known.Apply([]keyvalue.Event{{Entry: keyvalue.Entry{Key: key, Value: []byte(value), ModRevision: revision}}}, revision)
+		}
+		Expect(put(1, "config", "1")).To(HaveLen(1))
+		Expect(put(2, "target/a", "100 1 ready")).To(HaveLen(1))
+		Expect(put(3, "target/a", "100 2 ready")).To(BeEmpty())
+		Expect(put(4, "target/a", "100 3 draining")).To(HaveLen(1))
+		Expect(put(4, "target/a", "100 3 draining")).To(BeEmpty())
+		Expect(put(5, "target/a", "200 1 ready")).To(HaveLen(1))
+		Expect(put(6, "target/a", "unreadable")).To(HaveLen(1))
+		Expect(put(7, "something/else", "1")).To(BeEmpty())
+		removal := []keyvalue.Event{{Entry: keyvalue.Entry{Key: "target/a", ModRevision: 8}, Deleted: true}}
+		Expect(known.Apply(removal, 8)).To(HaveLen(1))
+		Expect(known.Apply(removal, 8)).To(BeEmpty())
+	})
 })
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -23,6 +23,12 @@
 	// changesTimeout bounds one wait for changes, beyond the time it may wait.
 	changesTimeout = 2500 * time.Millisecond
 	readTimeout    = 4 * time.Second
+	// toldAge is how long a host relies on the one that reads the store for it: longer
+	// than that takes for a call and a pause, and with a call of its own well within
+	// the 3 s in which a change is to be in force.
+	toldAge = 1400 * time.Millisecond
+	// checkPause is the pause between two looks whether the host is to read itself.
+	checkPause = 100 * time.Millisecond
 	// peerPause is the pause between two questions to other hosts while the
 	// store does not answer.
 	peerPause = 400 * time.Millisecond
@@ -31,37 +37,102 @@
 // Ask asks some other host for what it knows beyond a revision.
 type Ask func(ctx context.Context, after int64) (Difference, error)
 
+// News is what the host that reads the store for others tells them: the changes
+// from one revision to another that say something new.
+type News struct {
+	After    int64
+	Revision int64
+	Events   []keyvalue.Event
+	// Returned tells that the store had not answered before.
+	Returned bool
+	// Partial tells that there may be other changes, so that the revisions mean
+	// nothing.
+	Partial bool
+}
+
+// Circle is the hosts that share the reading of the store.
+type Circle interface {
+	// Reads reports whether this host is the one that reads for the others.
+	Reads() bool
+	// Tell tells the others. It must not block.
+	Tell(n News)
+}
+
 // Follower keeps a Catalogue up to date from the store, and from other hosts
-// while the store does not answer.
+// while the store does not answer. One host of a circle reads the store and tells
+// the others, who read it themselves when they are not told for a while.
 type Follower struct {
 	catalogue *Catalogue
 	reader    keyvalue.Reader
 	ask       Ask
+	circle    Circle
 	clock     clock.Clock
 	log       logr.Logger
 	answered  chan bool // whether the last call to the store was answered
+	told      chan struct{}
 }
 
 // NewFollower returns a Follower.
-func NewFollower(c *Catalogue, reader keyvalue.Reader, ask Ask, k clock.Clock, log logr.Logger) *Follower {
-	return &Follower{catalogue: c, reader: reader, ask: ask, clock: k, log: log, answered: make(chan bool, 1)}
+func NewFollower(c *Catalogue, reader keyvalue.Reader, ask Ask, circle Circle, k clock.Clock, log logr.Logger) *Follower {
+	return &Follower{
+		catalogue: c, reader: reader, ask: ask, circle: circle, clock: k, log: log,
+		answered: make(chan bool, 1), told: make(chan struct{}, 1),
+	}
 }
 
 // following is where the duty that reads the store stands.
 type following struct {
-	whole  bool // a whole read comes next
-	failed bool // the last call was not answered
+	whole  bool      // a whole read comes next
+	failed bool      // the last call was not answered
+	next   time.Time // not read before
+	told   time.Time // when another host last told all that is new
 }
 
 // FollowStore is the duty that reads the store.
 func (f *Follower) FollowStore(ctx context.Context) error {
 	state := following{whole: true}
-	for ctx.Err() == nil {
-		state = f.step(ctx, state)
-		f.catalogue.Sweep()
-		f.wait(ctx, f.pause(state.failed))
+	for {
+		now := f.clock.Now()
+		if !now.Before(state.next) && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
+			state = f.step(ctx, state)
+			state.next = f.clock.Now().Add(f.pause(state.failed))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.told:
+			if state.failed {
+				f.log.Info("Another host reads the store for this one.", "Revision", f.catalogue.Now().Revision)
+			}
+			state.failed, state.told = false, f.clock.Now()
+			f.setAnswered(true)
+		case <-f.clock.After(checkPause):
+		}
+	}
+}
+
+// Take takes the news of the host that reads the store. Whoever has missed what
+// came before takes what there is, and reads the store itself before long.
+func (f *Follower) Take(n News) {
+	if n.Partial {
+		if events := f.catalogue.Apply(n.Events, 0); len(events) > 0 {
+			f.tell(News{Events: events, Partial: true})
+		}
+		return
+	}
+	known := f.catalogue.Now().Revision
+	if n.Returned {
+		f.catalogue.StoreReturned()
+	}
+	if known < n.After {
+		f.catalogue.Apply(n.Events, 0)
+		return
+	}
+	f.catalogue.Apply(n.Events, n.Revision)
+	select {
+	case f.told <- struct{}{}:
+	default:
 	}
-	return nil
 }
 
 // step makes one call to the store.
@@ -77,7 +148,8 @@
 	f.note(err, s.failed)
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
 	compacted := err != nil && kind == keyvalue.Compacted
-	return following{whole: compacted || (s.whole && err != nil), failed: err != nil && !compacted}
+	s.whole, s.failed = compacted || (s.whole && err != nil), err != nil && !compacted
+	return s
 }
 
 func (f *Follower) pause(failed bool) time.Duration {
@@ -102,23 +174,32 @@
 		f.catalogue.StoreReturned()
 	}
 	f.catalogue.Replace(page.Entries, page.Revision)
+	f.tell(News{After: page.Revision, Revision: page.Revision})
 	return nil
 }
 
 func (f *Follower) readChanges(ctx context.Context, returning bool) error {
 	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
-	events, revision, err := f.reader.Changes(ctx, f.catalogue.Now().Revision)
+	after := f.catalogue.Now().Revision
+	events, revision, err := f.reader.Changes(ctx, after)
 	if err != nil {
 		return err
 	}
 	if returning {
 		f.catalogue.StoreReturned()
 	}
-	f.catalogue.Apply(events, revision)
+	f.tell(News{After: after, Revision: revision, Events: f.catalogue.Apply(events, revision), Returned: returning})
 	return nil
 }
 
+// tell tells the circle what is new, if this host reads the store for it.
+func (f *Follower) tell(n News) {
+	if f.circle.Reads() {
+		f.circle.Tell(n)
+	}
+}
+
 // note logs a lost or regained store and tells the other duty.
 func (f *Follower) note(err error, failed bool) {
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
@@ -129,11 +210,15 @@
 	if !lost && failed {
 		f.log.Info("The store answers again.", "Revision", f.catalogue.Now().Revision)
 	}
+	f.setAnswered(!lost)
+}
+
+func (f *Follower) setAnswered(answered bool) {
 	select {
 	case <-f.answered:
 	default:
 	}
-	f.answered <- !lost
+	f.answered <- answered
 }
 
 // FollowPeers is the duty that asks other hosts while the store does not
@@ -166,10 +251,3 @@
 	}
 	f.catalogue.Merge(d)
 }
-
-func (f *Follower) wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-f.clock.After(d):
-	}
-}
--- a/internal/catalogue/target.go
+++ b/internal/catalogue/target.go
@@ -36,6 +36,13 @@
 	Sequence int64
 }
 
+// saysMoreThan reports whether the report says more than that all is as it was at
+// an older one. A cold target warms up, so that each of its reports does.
+func (r Report) saysMoreThan(old Report) bool {
+	r.Sequence = old.Sequence
+	return r != old || r.Cold > 0
+}
+
 // Target is a target as the host knows it.
 type Target struct {
 	Report
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -147,6 +147,8 @@
 	switch target := string(ctx.RequestURI()); {
 	case target == pathPeerBoard:
 		g.serveBoard(ctx)
+	case target == pathPeerNews:
+		g.serveNews(ctx)
 	case strings.HasPrefix(target, pathPeerCatalogue):
 		g.serveCatalogue(ctx)
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 //	send.go      one send to a target
 //	forward.go   one send to another region, and what comes from there
 //	members.go   the hosts, and the directory for callers
+//	news.go      what one host reads in the store for the others
 //	share.go     what hosts tell one another of their load
 //	beliefs.go   what is learned from sends
 package gateway
@@ -84,6 +85,7 @@
 	hangups   *hangup.Watch
 	metrics   *metrics
 	suspects  *ring.Ring[suspicion]
+	news      *ring.Ring[catalogue.News]
 	shares    net.PacketConn
 	packets   net.PacketConn
 	servers   []served
@@ -133,7 +135,7 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, clock: clock.System{}, log: logr.Discard(), network: link.NewSystem(host),
 		sealer: seal.New(s.FleetKeys...), hangups: hangup.NewWatch(), metrics: newMetrics(),
-		suspects: ring.New[suspicion](maxSuspects),
+		suspects: ring.New[suspicion](maxSuspects), news: ring.New[catalogue.News](maxNews),
 		book:     balance.NewBook(s.Region, rand.Uint64()), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicals: map[string]time.Duration{},
 		register: quarantine.NewRegister(quarantine.WithDeaths(deathsToQuarantine)),
@@ -150,7 +152,7 @@
 	g.stores = exchange.NewPool(g.network)
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
 		catalogue.WithClock(g.clock), catalogue.WithLogger(g.log.WithName("catalogue")), catalogue.WithChanged(g.configure))
-	g.follower = catalogue.NewFollower(g.catalogue, adapters.Reader(g.stores, s.StoreAddress), g.askCatalogue, g.clock, g.log.WithName("catalogue"))
+	g.follower = catalogue.NewFollower(g.catalogue, adapters.Reader(g.stores, s.StoreAddress), g.askCatalogue, circle{g}, g.clock, g.log.WithName("catalogue"))
 	return g, g.listen()
 }
 
@@ -215,6 +217,7 @@
 	group.Go("gossip sync", g.gossip.Sync)
 	group.Go("store follower", g.follower.FollowStore)
 	group.Go("peer follower", g.follower.FollowPeers)
+	group.Go("news teller", g.tellNews)
 	group.Go("share sender", g.sendShares)
 	group.Go("share receiver", g.receiveShares)
 	group.Go("examiner", g.examine)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -40,15 +40,19 @@
 	}
 }
 
-// askPeer reads a JSON answer from another host. It leaves v as it is when the
-// host has nothing to say.
-func (g *Gateway) askPeer(ctx context.Context, address, path string, v any) error {
+// askPeer sends a request to another host, with a body if there is one, and reads
+// its JSON answer. It leaves v as it is when the host has nothing to say.
+func (g *Gateway) askPeer(ctx context.Context, address, path string, send []byte, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetHost(address)
 	request.Header.SetRequestURI(path)
+	if send != nil {
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetBody(send)
+	}
 	g.sealRequest(request)
 	response, err := g.controls.Do(ctx, address, request)
 	if err != nil {
@@ -85,7 +89,7 @@
 
 func (g *Gateway) fetchBoard(ctx context.Context, address string) ([]bulletin.Item, error) {
 	var body boardBody
-	err := g.askPeer(ctx, address, pathPeerBoard, &body)
+	err := g.askPeer(ctx, address, pathPeerBoard, nil, &body)
 	return body.Items, err
 }
 
@@ -124,7 +128,7 @@
 		return catalogue.Difference{}, errors.New("no other host is known")
 	}
 	var d catalogue.Difference
-	err := g.askPeer(ctx, choices[rand.IntN(len(choices))].PeerAddress, pathPeerCatalogue+strconv.FormatInt(after, 10), &d)
+	err := g.askPeer(ctx, choices[rand.IntN(len(choices))].PeerAddress, pathPeerCatalogue+strconv.FormatInt(after, 10), nil, &d)
 	return d, err
 }
 
