internal/balance: tell other hosts of each call as it begins and ends

Cause: in a small region hosts told one another what they have at targets every 75 ms, so that a burst of prompts met the same targets, and streams there paused for too long. Now a datagram goes to the region's other hosts as a call begins, as a stream's first event comes and as a call ends; what hosts keep of prompts goes with it, and shares only make up for what was lost, every 200 ms.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -30,8 +30,6 @@
 	targets map[string]*target
 	hosts   Hosts
 	cold    map[string]float64 // rate of cold targets by service
-	fresh   []partNote         // not yet told to the other hosts
-	told    map[partNote]time.Time
 	paces   map[string]*pace
 	own     map[string]*serviceFlows
 	others  map[string]hostFlows // by host of the region
@@ -45,7 +43,7 @@
 
 // NewBook returns an empty Book for a region.
 func NewBook(region string, seed uint64) *Book {
-	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{}, told: map[partNote]time.Time{},
+	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{},
 		paces: map[string]*pace{}, own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
 }
 
@@ -305,7 +303,6 @@
 	if t.coordinated {
 		t.note(now, beginning{at: now, rank: w.Rank, unread: f.unread})
 	}
-	b.tell(now, id, w)
 	b.flows(t.Service).begun.add(now, t.amount(f))
 	if now.Before(t.ColdUntil) {
 		t.cold.spend(now, b.cold[t.Service])
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// In a small region, each host tells all others what it has at each target. In a
-// large one that would come too late, or take too many bytes: hosts that do not
-// know of one another's calls send them to the same targets. So each target has a
-// coordinator among the region's hosts, which hears of each call there as it
-// begins and ends, and is asked before one is sent.
+// Hosts that do not know of one another's calls send them to the same targets. In a
+// small region, each host tells all others of each call as it begins, brings its
+// first byte and ends. In a large one that would take too many messages, so each
+// target has a coordinator among the region's hosts, which is told, and asked before
+// a call is sent.
 
 const (
 	// maxAllTold is how many hosts of a region tell one another everything.
@@ -115,7 +115,7 @@
 	return out
 }
 
-// Change is what one host has at a target, for the target's coordinator.
+// Change is what one host has at a target, for the hosts that are told of it.
 type Change struct {
 	Target string      `json:"Target"`
 	Has    TargetShare `json:"Has"`
@@ -138,9 +138,21 @@
 	return c, true
 }
 
+// ToldOf returns the other hosts that are told of changes at a target.
+func (b *Book) ToldOf(target string) []string {
+	list := b.hosts.Live
+	if b.Coordinated() {
+		list = []string{b.CoordinatorOf(target)}
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(host string) bool { return host == b.hosts.Self })
+}
+
 // Repeats returns what the host has at targets whose coordinators were last told of
-// it long ago.
+// it long ago. There are none in a small region, where shares say all.
 func (b *Book) Repeats(now time.Time) []Change {
+	if !b.Coordinated() {
+		return nil
+	}
 	var out []Change
 	for id, t := range b.targets {
 		if len(t.flying) > 0 && now.Sub(t.saidAt) >= RepeatPause {
@@ -152,7 +164,7 @@
 	return out
 }
 
-// TakeChange takes what another host has at a target that this one coordinates.
+// TakeChange takes what another host has at a target.
 func (b *Book) TakeChange(now time.Time, host string, c Change) {
 	t := b.targets[c.Target]
 	if t == nil {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -68,70 +68,29 @@
 
 func keyOf(p Part) partKey { return partKey(mix(p.ID)) }
 
-// partNote is a part that a target has read.
-type partNote struct {
-	target string
-	part   partKey
-}
-
 // Share is what one host tells the others of its region.
 type Share struct {
-	// Targets is what the host has at each target. It is nil where coordinators are
-	// told instead.
+	// Targets is what the host has at each target, which makes up for changes that
+	// were lost. It is nil where targets have coordinators.
 	Targets map[string]TargetShare `json:"Targets"`
 	// Totals is what all hosts have at the targets that the host coordinates.
 	Totals map[string]TargetShare `json:"Totals,omitempty"`
-	// Parts are the parts of prompts that targets have read, by target.
-	Parts map[string][]partKey `json:"Parts,omitempty"`
-	Flows map[string]Flows     `json:"Flows,omitempty"`
+	Flows  map[string]Flows       `json:"Flows,omitempty"`
 	// Paces are the prompt tokens that targets read in a millisecond, by service.
 	Paces map[string]float64 `json:"Paces,omitempty"`
 }
 
-const (
-	// maxNotes bounds the parts that are told in one share.
-	maxNotes = 24
-	// tellAgain is when a part is told again that a target goes on to be given: well
-	// within the time that others take it to be kept.
-	tellAgain = partAge / 3
-	// maxTold bounds the notes of what was told.
-	maxTold = 16384
-)
-
-// tell notes shared parts for the other hosts, unless they were told lately.
-func (b *Book) tell(now time.Time, id string, w Work) {
-	if len(b.told) > maxTold {
-		b.told = map[partNote]time.Time{}
-	}
-	for i, p := range w.Parts {
-		if i == len(w.Parts)-1 || len(b.fresh) >= maxNotes {
-			return
-		}
-		note := partNote{target: id, part: keyOf(p)}
-		if at, known := b.told[note]; known && now.Sub(at) < tellAgain {
-			continue
-		}
-		b.told[note] = now
-		b.fresh = append(b.fresh, note)
-	}
-}
-
-// Share returns what the host tells the others of its region, and forgets the
-// parts that it told.
+// Share returns what the host tells the others of its region now and then, beside
+// its changes.
 func (b *Book) Share(now time.Time) Share {
-	s := Share{Parts: map[string][]partKey{}, Flows: map[string]Flows{}, Paces: b.tellPaces()}
+	s := Share{Flows: map[string]Flows{}, Paces: b.tellPaces()}
 	for service, flows := range b.own {
 		s.Flows[service] = flows.now(now).rounded()
 	}
-	fresh := b.fresh
-	b.fresh = nil
 	if b.Coordinated() {
 		s.Totals = b.totals(now)
 		return s
 	}
-	for _, note := range fresh {
-		s.Parts[note.target] = append(s.Parts[note.target], note.part)
-	}
 	s.Targets = map[string]TargetShare{}
 	for id, t := range b.targets {
 		if len(t.flying) > 0 {
@@ -172,14 +131,6 @@
 		}
 	}
 	b.others[host] = hostFlows{flows: s.Flows, at: now}
-	for id, parts := range s.Parts {
-		t := b.targets[id]
-		for _, part := range parts {
-			if t != nil && len(t.parts) < maxParts {
-				t.parts[part] = now
-			}
-		}
-	}
 }
 
 func (b *Book) mergeTargets(now time.Time, host string, s Share) {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -24,8 +24,7 @@
 	health     health
 	cold       coldBudget
 	prompts    bool // the target reads prompts
-	// coordinated tells that other hosts tell what they have at the target when it
-	// changes, and not how it is read.
+	// coordinated tells that the target has a coordinator.
 	coordinated bool
 	pauses      pauses
 	// total is what the coordinator of the target last told of all hosts' calls, and
@@ -133,7 +132,7 @@
 			others += float64(s.backlog(rank))
 		}
 	}
-	if t.coordinated {
+	if others > 0 {
 		others -= min(t.effectiveRate(now)*milliseconds(now.Sub(t.progressAt)), readOnShare*others)
 	}
 	return max(0, tokens+others)
--- a/internal/gateway/confer.go
+++ b/internal/gateway/confer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -37,9 +38,9 @@
 	}
 	defer g.forgetQuestion(asked.number)
 	for host, targets := range asked.to {
-		g.sendTo(host, shareMessage{Question: &question{
+		g.sendShare(shareMessage{Question: &question{
 			Number: asked.number, Service: f.work.Service, Rank: f.work.Rank, Tokens: f.work.Tokens, Parts: f.work.Parts, Targets: targets,
-		}})
+		}}, g.infos([]string{host}))
 	}
 	late := g.clock.After(g.wordPatience)
 	for range asked.to {
@@ -110,7 +111,7 @@
 		}
 	}
 	g.mu.Unlock()
-	g.sendTo(host, shareMessage{Word: &w})
+	g.sendShare(shareMessage{Word: &w}, g.infos([]string{host}))
 }
 
 // hear takes the answer to a question, unless nobody waits for it any more.
@@ -125,43 +126,40 @@
 	}
 }
 
-// tellChange tells the coordinator of a target what this host has there now, after
-// a call with the given work has begun there, or with empty work for other changes.
+// tellChange tells other hosts what this one has at a target now, after a call with
+// the given work has begun there, or with empty work for other changes.
 func (g *Gateway) tellChange(id string, w balance.Work) {
 	g.mu.Lock()
 	c, ok := g.book.ChangeAt(g.clock.Now(), id, w)
-	ok = ok && g.book.Coordinated()
+	to := g.book.ToldOf(id)
 	g.mu.Unlock()
 	if ok {
-		g.sendChanges([]balance.Change{c})
+		g.sendShare(shareMessage{Changes: []balance.Change{c}}, g.infos(to))
 	}
 }
 
-// sendChanges tells coordinators what the host has at targets.
-func (g *Gateway) sendChanges(changes []balance.Change) {
-	if len(changes) == 0 {
-		return
-	}
+// repeatChanges tells the coordinators of targets again what the host has there.
+func (g *Gateway) repeatChanges(now time.Time) {
 	to := map[string][]balance.Change{}
 	g.mu.Lock()
-	for _, c := range changes {
-		to[g.book.CoordinatorOf(c.Target)] = append(to[g.book.CoordinatorOf(c.Target)], c)
+	for _, c := range g.book.Repeats(now) {
+		for _, host := range g.book.ToldOf(c.Target) {
+			to[host] = append(to[host], c)
+		}
 	}
-	coordinated := g.book.Coordinated()
 	g.mu.Unlock()
 	for host, list := range to {
-		if coordinated && host != g.settings.Host {
-			g.sendTo(host, shareMessage{Changes: list})
-		}
+		g.sendShare(shareMessage{Changes: list}, g.infos([]string{host}))
 	}
 }
 
-// sendTo sends a datagram to one host of the region.
-func (g *Gateway) sendTo(host string, m shareMessage) {
-	for _, info := range g.gossip.View().Members {
-		if info.Host == host {
-			g.sendShare(m, []member.Info{info})
-			return
+// infos returns what is known of hosts.
+func (g *Gateway) infos(hosts []string) []member.Info {
+	var out []member.Info
+	for _, m := range g.gossip.View().Members {
+		if slices.Contains(hosts, m.Host) {
+			out = append(out, m)
 		}
 	}
+	return out
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -24,7 +24,7 @@
 	lostPause = 2 * time.Second
 	// mateSilence is how long a host of the region may be silent before callers are
 	// no longer told of it: several pauses between two of its shares.
-	mateSilence    = 5
+	mateSilence    = 4
 	minMateSilence = 750 * time.Millisecond
 	// settleTime is what a host that has started takes to hear of the others,
 	// and aloneTime what it takes to believe that there are none.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -104,16 +104,20 @@
 		b.First(now, t.handle)
 		t.f.g.learnTypical(t.f.route.Name, t.choice.Prediction.Own)
 	})
-	t.tellChange()
+	if t.f.isStream() {
+		t.tellChange() // its prompt is read; what is no stream has ended
+	}
 }
 
-// tellChange tells the target's coordinator of a send that has gone on or ended.
+// tellChange tells other hosts of a send to a target that has gone on or ended.
 func (t *try) tellChange() {
 	if t.handle != nil {
 		t.f.g.tellChange(t.choice.Target.ID, balance.Work{})
 	}
 }
 
+func (f *flight) isStream() bool { return f.route.Kind == route.Stream }
+
 // tell notes in the book what came of a send to a target. A send to another region
 // is noted by the host there.
 func (t *try) tell(note func(now time.Time, b *balance.Book)) {
@@ -305,7 +309,7 @@
 // newSource returns the answer of a target, or of the host that relays it.
 func (t *try) newSource(response *exchange.Response, from string) *source {
 	s := &source{response: response, target: from, try: t}
-	if t.f.route.Kind == route.Stream && response.Status() == fasthttp.StatusOK {
+	if t.f.isStream() && response.Status() == fasthttp.StatusOK {
 		s.stream = newEvents(response)
 	}
 	return s
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// minSharePause is the pause between two shares in a small region: hosts that
-	// know of each other's prompts later send theirs to the same targets. A larger
+	// minSharePause is the pause between two shares in a small region: a fraction of
+	// the time after which callers are no longer told of a silent host. A larger
 	// region pauses longer, so that what a host sends does not grow with it.
-	minSharePause   = 75 * time.Millisecond
+	minSharePause   = 200 * time.Millisecond
 	sharePausePerIn = 20 * time.Millisecond // for each other host of the region
 	// awayPause is the least pause between two words to other regions, whose links
 	// are thin. Each host tells one host of each other region in turn.
@@ -34,10 +34,11 @@
 	// Share is for hosts of the region, Services for those of others.
 	Share    *balance.Share                  `json:"Share,omitempty"`
 	Services map[string]balance.ServiceState `json:"Services,omitempty"`
-	// Changes, Question and Word are between a host and the coordinator of targets.
-	Changes  []balance.Change `json:"Changes,omitempty"`
-	Question *question        `json:"Question,omitempty"`
-	Word     *word            `json:"Word,omitempty"`
+	// Changes are what the host has now at targets where that has changed.
+	Changes []balance.Change `json:"Changes,omitempty"`
+	// Question and Word are between a host and the coordinator of targets.
+	Question *question `json:"Question,omitempty"`
+	Word     *word     `json:"Word,omitempty"`
 }
 
 // sendShares is the duty that tells other hosts of the load.
@@ -49,10 +50,9 @@
 		now := g.clock.Now()
 		g.mu.Lock()
 		share := g.book.Share(now)
-		repeats := g.book.Repeats(now)
 		g.mu.Unlock()
 		g.sendShare(shareMessage{Share: &share}, mates)
-		g.sendChanges(repeats)
+		g.repeatChanges(now)
 		if now.Sub(away) >= awayPause {
 			away = now
 			g.shareAway(now)
