internal/balance: hold prompts back while a target's streams cannot go on

Cause: a target reads prompts in pieces between the tokens of its streams. While prompts come one after another, an event of eight tokens takes eight pieces, 0.8 s, however short each prompt is; the cost of a stall looked at the backlog alone, not at how long the target had been reading. Now hosts know since when a target reads without a rest; a prompt that would make it too long is held, 0.4 of its aim at most, until the target has read what it has, and is then placed anew.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -146,9 +146,7 @@
 	var best *view
 	var prediction Prediction
 	bestCost := time.Duration(0)
-	for i := range views {
-		v := &views[i]
-		p := v.predict(now, w)
+	consider := func(v *view, p Prediction) {
 		again := fromMilliseconds(float64(p.Unread-least) / v.effectiveRate(now))
 		cost := p.Total() + v.health.cost(now) + scale(again, rereadWeight) + scale(stallCost, p.Stalled)
 		if least == w.Tokens {
@@ -159,6 +157,14 @@
 			best, prediction, bestCost = v, p, cost
 		}
 	}
+	for i := range views {
+		v := &views[i]
+		p := v.predict(now, w)
+		consider(v, p)
+		if p.Stalled > 0 && v.reading > 0 && !w.Pressed {
+			consider(v, v.afterRest(now, w))
+		}
+	}
 	if best == nil {
 		return Choice{}, false
 	}
@@ -299,6 +305,7 @@
 		t.progressAt = now
 	}
 	t.flying[f] = struct{}{}
+	t.noteSpell(now)
 	t.keep(now, w.Parts)
 	if t.coordinated {
 		t.note(now, beginning{at: now, rank: w.Rank, unread: f.unread})
@@ -324,6 +331,7 @@
 	}
 	f.first = true
 	f.target.learnFirst(now, f)
+	f.target.noteSpell(now)
 }
 
 // End notes the end of a call at a target.
@@ -333,6 +341,7 @@
 	}
 	f.ended = true
 	delete(f.target.flying, f)
+	f.target.noteSpell(now)
 	f.target.health.note(now, r)
 	if r == Answered {
 		f.target.learnEnd(now.Sub(f.began))
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -34,7 +34,9 @@
 }
 
 // MarshalJSON writes the figures as a list, as one is sent for each target asked.
-func (l TargetLoad) MarshalJSON() ([]byte, error) { return marshalInts(append(l.ints(), l.Unread)) }
+func (l TargetLoad) MarshalJSON() ([]byte, error) {
+	return marshalInts(append(l.ints(), l.Unread))
+}
 
 // UnmarshalJSON reads the list of figures.
 func (l *TargetLoad) UnmarshalJSON(data []byte) error {
@@ -180,7 +182,8 @@
 	}
 	if c.Has == (TargetShare{}) {
 		delete(t.shares, host)
-		return
+	} else {
+		t.shares[host] = hostShare{TargetShare: c.Has, at: now, age: changeAge}
 	}
-	t.shares[host] = hostShare{TargetShare: c.Has, at: now, age: changeAge}
+	t.noteSpell(now)
 }
--- a/internal/balance/large_test.go
+++ b/internal/balance/large_test.go
@@ -20,6 +20,7 @@
 	modelRate    = 60.0 // tokens of a prompt that a model target reads in a millisecond
 	wayThere     = 3 * time.Millisecond
 	tellPause    = 800 * time.Millisecond
+	longestHold  = 480 * time.Millisecond // 0.4 of an aim of 1.2 s
 )
 
 // modelTarget reads prompts one after another and keeps their shared parts.
@@ -122,13 +123,17 @@
 	}
 }
 
-// call brings one call to a host, which asks the coordinators of some targets.
+// call brings one call to a host.
 func (r *largeRegion) call(w balance.Work) {
-	name := r.names[r.source.IntN(len(r.names))]
-	if r.lost[name] {
-		return
+	if name := r.names[r.source.IntN(len(r.names))]; !r.lost[name] {
+		r.try(name, w, r.now)
 	}
-	b, began := r.books[name], r.now
+}
+
+// try has a host ask the coordinators of some targets, and send the call to one or
+// hold it back for a while.
+func (r *largeRegion) try(name string, w balance.Work, began time.Time) {
+	b := r.books[name]
 	w.Said = map[string]balance.TargetLoad{}
 	for _, id := range b.Candidates(r.now, w, nil) {
 		coordinator := b.CoordinatorOf(id)
@@ -137,24 +142,33 @@
 		}
 	}
 	r.at(r.now.Add(wayThere), func() {
+		w.Pressed = r.now.Sub(began) >= longestHold
 		choice, ok := b.Choose(r.now, w, nil)
 		Expect(ok).To(BeTrue())
-		id := choice.Target.ID
-		flight := b.Begin(r.now, id, w)
-		r.change(name, id, w)
-		if w.Parts[0].Tokens > 2000 && !r.targets[id].parts[w.Parts[0].ID] {
-			r.reads++
+		if hold := choice.Prediction.Hold; hold > 0 {
+			r.at(r.now.Add(hold), func() { r.try(name, w, began) })
+			return
 		}
-		first := r.targets[id].run(r.now, w)
-		r.at(first, func() {
-			r.firsts[w.Tokens] = append(r.firsts[w.Tokens], r.now.Sub(began))
-			b.First(r.now, flight)
-			r.change(name, id, balance.Work{})
-		})
-		r.at(first.Add(2*time.Second), func() {
-			b.End(r.now, flight, balance.Answered)
-			r.change(name, id, balance.Work{})
-		})
+		r.send(name, choice.Target.ID, w, began)
+	})
+}
+
+func (r *largeRegion) send(name, id string, w balance.Work, began time.Time) {
+	b := r.books[name]
+	flight := b.Begin(r.now, id, w)
+	r.change(name, id, w)
+	if w.Parts[0].Tokens > 2000 && !r.targets[id].parts[w.Parts[0].ID] {
+		r.reads++
+	}
+	first := r.targets[id].run(r.now, w)
+	r.at(first, func() {
+		r.firsts[w.Tokens] = append(r.firsts[w.Tokens], r.now.Sub(began))
+		b.First(r.now, flight)
+		r.change(name, id, balance.Work{})
+	})
+	r.at(first.Add(2*time.Second), func() {
+		b.End(r.now, flight, balance.Answered)
+		r.change(name, id, balance.Work{})
 	})
 }
 
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -148,6 +148,7 @@
 		} else {
 			delete(t.shares, host)
 		}
+		t.noteSpell(now)
 	}
 }
 
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -31,6 +31,7 @@
 	// began what this host has begun since then.
 	total hostShare
 	began []beginning
+	spell spell
 	// saidAt is when the host last told the coordinator what it has at the target.
 	saidAt time.Time
 }
@@ -57,11 +58,18 @@
 	flights int     // of all hosts
 	backlog float64 // tokens of prompts that go before the call
 	unread  int     // tokens of its own prompt that the target has to read
+	// reading is how long the target has read prompts without a rest; 0 where
+	// targets have coordinators, who do not tell it.
+	reading time.Duration
 }
 
 // view returns the target as the host believes.
 func (t *target) view(now time.Time, w Work) view {
-	return view{target: t, flights: t.flights(now), backlog: t.backlog(now, w.Rank), unread: t.unread(now, w)}
+	v := view{target: t, flights: t.flights(now), backlog: t.backlog(now, w.Rank), unread: t.unread(now, w)}
+	if !t.coordinated {
+		v.reading = t.spell.lasts(now)
+	}
+	return v
 }
 
 // viewOf returns the target as its coordinator has just told.
@@ -236,6 +244,9 @@
 	Rate float64
 	// Stalled is how many streams are expected to pause for too long.
 	Stalled float64
+	// Hold is how long the call is better held back, so that streams go on before
+	// the target reads it. It is a part of Wait.
+	Hold time.Duration
 }
 
 // Total is the time to the first byte.
@@ -256,10 +267,20 @@
 	}
 	return Prediction{
 		Wait: fromMilliseconds(wait), Own: baseSpan + fromMilliseconds(float64(v.unread)/rate),
-		Unread: v.unread, Rate: rate, Stalled: v.stall(now, w, v.backlog+float64(v.unread)) * float64(v.flights+1),
+		Unread: v.unread, Rate: rate, Stalled: v.stall(now, w, milliseconds(v.reading)*rate+v.backlog+float64(v.unread)) * float64(v.flights+1),
 	}
 }
 
+// afterRest predicts for a call that is held until the target has read what it has,
+// and its streams have gone on.
+func (v view) afterRest(now time.Time, w Work) Prediction {
+	p := v.predict(now, w)
+	p.Hold = fromMilliseconds(v.backlog/v.effectiveRate(now)) + rest
+	p.Wait = p.Hold
+	p.Stalled = v.stall(now, w, float64(v.unread)) * float64(v.flights+1)
+	return p
+}
+
 // learnFirst takes the time to the first byte of a call.
 func (t *target) learnFirst(now time.Time, f *Flight) {
 	t.progressAt = now
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -25,6 +25,8 @@
 	Gap time.Duration
 	// Key differs from call to call.
 	Key string
+	// Pressed tells that the call is not to be held back any more.
+	Pressed bool
 	// Said is what coordinators have just said of targets for this call, by target.
 	Said map[string]TargetLoad
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,9 +31,10 @@
 	cancel   context.CancelFunc
 	request  *fasthttp.Request // as it came, without what callers may not set
 
-	spilled bool // goes away for want of capacity at home
-	sends   int  // that may have run
-	refused int  // sends that were refused without running
+	held    time.Duration // time that the call was held back
+	spilled bool          // goes away for want of capacity at home
+	sends   int           // that may have run
+	refused int           // sends that were refused without running
 	tried   []string
 	away    []string // regions that were asked
 	notes   []string // what was decided and what came of it, for the log
@@ -82,6 +83,10 @@
 			return f.ownReply("targets refuse the call", f.g.spread(retryAtOnce))
 		}
 		answer, choice := f.decide()
+		if answer.Local && choice.Prediction.Hold > 0 {
+			f.hold(choice.Prediction.Hold)
+			continue
+		}
 		var s *source
 		var r result
 		switch {
@@ -101,6 +106,26 @@
 	}
 }
 
+const (
+	// heldShare is the part of a call's aim for which it may be held back in all.
+	heldShare = 0.4
+	// holdSpread keeps calls apart that are held until the same moment, so that each
+	// learns what the one before has begun.
+	holdSpread = 12 * time.Millisecond
+)
+
+// hold waits before the next decision, so that the streams of a target go on before
+// it reads the call.
+func (f *flight) hold(d time.Duration) {
+	began := f.g.clock.Now()
+	select {
+	case <-f.ctx.Done():
+	case <-f.g.clock.After(d + time.Duration(f.g.random()*float64(holdSpread))):
+	}
+	f.held += f.g.clock.Now().Sub(began)
+	f.work.Pressed = f.held >= scale(f.route.Aim, heldShare)
+}
+
 // result tells how a send without an answer for the caller ended.
 type result struct {
 	outcome core.Outcome
