internal/gateway: send what a host says of itself in order

Found on the last reading: a change and its number were made apart, so that an older state could be sent with a higher number and hold until the next share, and a held call left a note for each hold, so that all held calls were logged. Ruled out: numbers for each target, which cost bytes. Now one lock covers what is said and its sending, and the line of a held call keeps the decision that counted, with HeldMs. No test fails without the lock: the order was never seen to be wrong.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -85,6 +85,7 @@
 		answer, choice := f.decide()
 		if answer.Local && choice.Prediction.Hold > 0 {
 			f.hold(choice.Prediction.Hold)
+			f.notes = f.notes[:len(f.notes)-1] // the decision that counts comes after
 			continue
 		}
 		var s *source
--- a/internal/gateway/confer.go
+++ b/internal/gateway/confer.go
@@ -129,6 +129,8 @@
 // tellChange tells other hosts what this one has at a target now, after a call with
 // the given work has begun there, or with empty work for other changes.
 func (g *Gateway) tellChange(id string, w balance.Work) {
+	g.telling.Lock()
+	defer g.telling.Unlock()
 	g.mu.Lock()
 	c, ok := g.book.ChangeAt(g.clock.Now(), id, w)
 	to := g.book.ToldOf(id)
@@ -140,6 +142,8 @@
 
 // repeatChanges tells the coordinators of targets again what the host has there.
 func (g *Gateway) repeatChanges(now time.Time) {
+	g.telling.Lock()
+	defer g.telling.Unlock()
 	to := map[string][]balance.Change{}
 	g.mu.Lock()
 	for _, c := range g.book.Repeats(now) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,10 @@
 	packets   net.PacketConn
 	servers   []served
 
+	// telling makes what a host says of itself go out in the order in which it was
+	// so. It is taken before mu.
+	telling sync.Mutex
+
 	mu       sync.Mutex // guards all below
 	book     *balance.Book
 	regions  *balance.Regions
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -137,7 +137,7 @@
 	}
 	f.g.log.Info("A call ended.", "ID", f.call.ID, "Route", f.route.Name, "Service", f.service, "Version", f.version,
 		"Received", f.received, "Status", status, "Outcome", outcome.String(), "Reason", reason,
-		"TookMs", took.Milliseconds(), "FirstMs", f.firstMs(), "LongestPauseMs", f.longestPause.Milliseconds(), "Sends", f.sends, "Steps", f.notes, "Since", f.began.UTC().Format(time.RFC3339Nano))
+		"TookMs", took.Milliseconds(), "HeldMs", f.held.Milliseconds(), "FirstMs", f.firstMs(), "LongestPauseMs", f.longestPause.Milliseconds(), "Sends", f.sends, "Steps", f.notes, "Since", f.began.UTC().Format(time.RFC3339Nano))
 }
 
 // firstMs is the time to the first byte of the answer, -1 when none came.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -48,10 +48,7 @@
 		g.updateHosts()
 		mates := g.mates()
 		now := g.clock.Now()
-		g.mu.Lock()
-		share := g.book.Share(now)
-		g.mu.Unlock()
-		g.sendShare(shareMessage{Share: &share}, mates)
+		g.shareHere(now, mates)
 		g.repeatChanges(now)
 		if now.Sub(away) >= awayPause {
 			away = now
@@ -65,6 +62,16 @@
 	}
 }
 
+// shareHere tells the other hosts of the region what this one has.
+func (g *Gateway) shareHere(now time.Time, mates []member.Info) {
+	g.telling.Lock()
+	defer g.telling.Unlock()
+	g.mu.Lock()
+	share := g.book.Share(now)
+	g.mu.Unlock()
+	g.sendShare(shareMessage{Share: &share}, mates)
+}
+
 // sharePause is the pause between two shares in a region with so many other hosts.
 func sharePause(mates int) time.Duration {
 	return max(minSharePause, time.Duration(mates)*sharePausePerIn)
