internal/feed: ask other hosts when the one that was ahead is not

When that one has itself restarted meanwhile it answers with nothing, the fact is no news any more, and the host stays without a configuration until the next patch or the store's return.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -132,7 +132,7 @@
 	d.book = claim.NewBook(claimRetention + bookMargin)
 	d.feed = feed.New(d.ledger,
 		feed.WithClock(d.clock), feed.WithLogger(d.log.WithName("feed")),
-		feed.WithFetch(d.fetchUpdate), feed.WithAdopted(d.adopted), feed.WithWatches(d.watchesStore))
+		feed.WithFetch(d.fetchUpdate), feed.WithAdopted(d.adopted), feed.WithWatches(d.watchesStore), feed.WithOther(d.otherPeer))
 	return d, d.listen()
 }
 
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -177,3 +178,17 @@
 	err := d.askPeer(ctx, peer, pathPeerConfig+"?after="+strconv.FormatUint(after, 10), &update)
 	return update, err
 }
+
+// otherPeer returns the peer address of some other host that is in use.
+func (d *Daemon) otherPeer() (string, bool) {
+	var choices []string
+	for _, m := range d.gossip.View().Members {
+		if m.Host != d.settings.Host && m.InUse() {
+			choices = append(choices, m.PeerAddress)
+		}
+	}
+	if len(choices) == 0 {
+		return "", false
+	}
+	return choices[rand.IntN(len(choices))], true
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,6 +50,7 @@
 	fetch   Fetch
 	adopted Adopted
 	watches func() bool
+	other   func() (string, bool)
 	hints   *ring.Ring[Hint]
 
 	state atomic.Pointer[ledger.State]
@@ -81,11 +82,15 @@
 // centre that watch the store.
 func WithWatches(watches func() bool) Option { return func(f *Feed) { f.watches = watches } }
 
+// WithOther sets what returns the peer address of some other host, for when the
+// host that was said to be ahead is not: it may have restarted since.
+func WithOther(other func() (string, bool)) Option { return func(f *Feed) { f.other = other } }
+
 // New returns a Feed at version 0.
 func New(l *ledger.Ledger, options ...Option) *Feed {
 	f := &Feed{
 		ledger: l, clock: clock.System{}, log: logr.Discard(), adopted: func(*ledger.State, *ledger.Record) {},
-		watches: func() bool { return true }, hints: ring.New[Hint](hintRing),
+		watches: func() bool { return true }, other: func() (string, bool) { return "", false }, hints: ring.New[Hint](hintRing),
 	}
 	for _, option := range options {
 		option(f)
@@ -218,9 +223,25 @@
 		case <-ctx.Done():
 			return nil
 		case h := <-f.hints.Items():
-			if h.Version > f.State().Version && f.fetch != nil {
-				f.ask(ctx, h)
-			}
+			f.catchUp(ctx, h)
+		}
+	}
+}
+
+// catchUp asks the host of a hint, and then others, until the version is in force.
+func (f *Feed) catchUp(ctx context.Context, h Hint) {
+	for f.fetch != nil && h.Version > f.State().Version {
+		f.ask(ctx, h)
+		if h.Version <= f.State().Version {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.clock.After(retryPause):
+		}
+		if peer, ok := f.other(); ok {
+			h.Peer = peer
 		}
 	}
 }
