internal/balance: derive what was kept twice

Found on reading the change once more: each target kept a copy of whether the region has coordinators, which the book knows; a wrapper of json.Marshal; a condition that changed nothing; confer returned what its caller can see; time was scaled by two copies of one function; whole reads and the word of peers were taken by two loops in the catalogue, one of them a search through all keys for each key. Behaviour is the same: no test was changed.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -57,7 +58,6 @@
 		switch {
 		case known == nil:
 			b.targets[id] = newTarget(t, b.pace(t.Service))
-			b.targets[id].coordinated = b.Coordinated()
 		case known.Incarnation != t.Incarnation:
 			known.restart(t)
 		default:
@@ -83,13 +83,11 @@
 // at targets ends with their connections.
 func (b *Book) SetHosts(h Hosts) {
 	b.hosts = h
+	if !b.Coordinated() {
+		return // shares are believed for a short time only
+	}
 	for _, t := range b.targets {
-		t.coordinated = b.Coordinated()
-		for host := range t.shares {
-			if t.coordinated && !slices.Contains(h.Live, host) {
-				delete(t.shares, host)
-			}
-		}
+		maps.DeleteFunc(t.shares, func(host string, _ hostShare) bool { return !slices.Contains(h.Live, host) })
 	}
 }
 
@@ -137,7 +135,7 @@
 // coordinators have spoken for the call, only their targets come into question.
 func (b *Book) Choose(now time.Time, w Work, exclude []string) (Choice, bool) {
 	choices := b.serving(now, w.Service, exclude)
-	views := views(now, w, choices)
+	views := b.views(now, w, choices)
 	least := w.Tokens
 	for _, v := range views {
 		least = min(least, v.unread)
@@ -148,9 +146,9 @@
 	bestCost := time.Duration(0)
 	consider := func(v *view, p Prediction) {
 		again := fromMilliseconds(float64(p.Unread-least) / v.effectiveRate(now))
-		cost := p.Total() + v.health.cost(now) + scale(again, rereadWeight) + scale(stallCost, p.Stalled)
+		cost := p.Total() + v.health.cost(now) + Scale(again, rereadWeight) + Scale(stallCost, p.Stalled)
 		if least == w.Tokens {
-			cost += firstRead(now, v.target, w, home)
+			cost += b.firstRead(now, v.target, w, home)
 		}
 		cost = b.jitter(cost)
 		if best == nil || cost < bestCost {
@@ -173,7 +171,7 @@
 
 // views returns the targets as a call finds them: those that coordinators spoke of,
 // if there are any, and else all as the host believes.
-func views(now time.Time, w Work, choices []*target) []view {
+func (b *Book) views(now time.Time, w Work, choices []*target) []view {
 	var out []view
 	for _, t := range choices {
 		if load, ok := w.Said[t.ID]; ok {
@@ -184,7 +182,11 @@
 		return out
 	}
 	for _, t := range choices {
-		out = append(out, t.view(now, w))
+		v := t.view(now, w)
+		if !b.Coordinated() {
+			v.reading = t.spell.lasts(now)
+		}
+		out = append(out, v)
 	}
 	return out
 }
@@ -212,21 +214,21 @@
 )
 
 func (b *Book) jitter(cost time.Duration) time.Duration {
-	return scale(cost, 1+jitterShare*(b.random.Float64()-0.5)) + scale(jitterFloor, b.random.Float64())
+	return Scale(cost, 1+jitterShare*(b.random.Float64()-0.5)) + Scale(jitterFloor, b.random.Float64())
 }
 
 // firstRead is the cost of reading parts at a target when no target is known to
 // keep them. It leads all hosts to the same target, also hosts that have restarted
 // and do not know what targets keep. In a large region, hosts ask only about the
 // targets that parts hash to, so that long parts read elsewhere are read again.
-func firstRead(now time.Time, t *target, w Work, home string) time.Duration {
+func (b *Book) firstRead(now time.Time, t *target, w Work, home string) time.Duration {
 	if len(w.Parts) < 2 {
 		return 0
 	}
-	if t.coordinated && t.ID != home && sharedTokens(w) >= minKeptTokens {
-		return scale(fromMilliseconds(float64(sharedTokens(w))/t.effectiveRate(now)), rereadWeight)
+	if b.Coordinated() && t.ID != home && sharedTokens(w) >= minKeptTokens {
+		return Scale(fromMilliseconds(float64(sharedTokens(w))/t.effectiveRate(now)), rereadWeight)
 	}
-	return scale(firstReadCost, 1-float64(partRank(t, w)>>11)/(1<<53))
+	return Scale(firstReadCost, 1-float64(partRank(t, w)>>11)/(1<<53))
 }
 
 // homeOf returns the target of the list that the call's shared parts hash to.
@@ -307,7 +309,7 @@
 	t.flying[f] = struct{}{}
 	t.noteSpell(now)
 	t.keep(now, w.Parts)
-	if t.coordinated {
+	if b.Coordinated() {
 		t.note(now, beginning{at: now, rank: w.Rank, unread: f.unread})
 	}
 	b.flows(t.Service).begun.add(now, t.amount(f))
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"time"
 )
@@ -35,7 +36,7 @@
 
 // MarshalJSON writes the figures as a list, as one is sent for each target asked.
 func (l TargetLoad) MarshalJSON() ([]byte, error) {
-	return marshalInts(append(l.ints(), l.Unread))
+	return json.Marshal(append(l.ints(), l.Unread))
 }
 
 // UnmarshalJSON reads the list of figures.
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -38,7 +38,7 @@
 	if w.Rank == 0 {
 		share = urgentPauseShare
 	}
-	return w.Gap > 0 && pause > scale(w.Gap, share)
+	return w.Gap > 0 && pause > Scale(w.Gap, share)
 }
 
 // Away is another region that may serve a call.
@@ -109,7 +109,7 @@
 	local := q.Local.Prediction
 	full := q.Here && strained(q.Work, q.Local.Pause)
 	open := q.Here && !full
-	if open && (q.Aim == 0 || local.Total() <= scale(q.Aim, comfortShare)) {
+	if open && (q.Aim == 0 || local.Total() <= Scale(q.Aim, comfortShare)) {
 		return Answer{Local: true, Reason: "in good time"}
 	}
 	if away, ok := q.nearest(limit); ok && (!open || away.Total()+awayGain < local.Total()) {
@@ -138,13 +138,13 @@
 	if q.Aim == 0 {
 		return q.Left
 	}
-	return min(q.Left, max(q.Aim-q.Typical, scale(q.Aim, minWaitShare)))
+	return min(q.Left, max(q.Aim-q.Typical, Scale(q.Aim, minWaitShare)))
 }
 
 // keeper sends a call to the region that keeps its parts.
 func (q Question) keeper() (Answer, bool) {
 	for _, a := range q.Away {
-		if q.Here && a.Region == q.Keeper && !strained(q.Work, a.Pause) && a.Total() <= scale(q.Aim, keeperShare) {
+		if q.Here && a.Region == q.Keeper && !strained(q.Work, a.Pause) && a.Total() <= Scale(q.Aim, keeperShare) {
 			return Answer{Region: a.Region, Reason: "the region that keeps its parts"}, true
 		}
 	}
@@ -177,5 +177,5 @@
 	if q.Here {
 		over = max(0, q.Local.Prediction.Wait-limit/2)
 	}
-	return minRetryAfter + over + scale(q.Left, returnShare*q.Spread)
+	return minRetryAfter + over + Scale(q.Left, returnShare*q.Spread)
 }
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -87,4 +87,4 @@
 }
 
 // cost is added to the predicted time of a target that fails calls.
-func (h *health) cost(now time.Time) time.Duration { return scale(faultCost, h.share(now)) }
+func (h *health) cost(now time.Time) time.Duration { return Scale(faultCost, h.share(now)) }
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -23,7 +23,7 @@
 }
 
 // MarshalJSON writes the figures as a list, as shares go out several times a second.
-func (s TargetShare) MarshalJSON() ([]byte, error) { return marshalInts(s.ints()) }
+func (s TargetShare) MarshalJSON() ([]byte, error) { return json.Marshal(s.ints()) }
 
 // UnmarshalJSON reads the list of figures.
 func (s *TargetShare) UnmarshalJSON(data []byte) error {
@@ -41,8 +41,6 @@
 	return TargetShare{Flights: list[0], Backlog: [ranksTold]int{list[1], list[2]}, PauseMs: list[3]}
 }
 
-func marshalInts(list []int) ([]byte, error) { return json.Marshal(list) }
-
 // unmarshalInts reads a list of n figures, none of them negative.
 func unmarshalInts(data []byte, n int) ([]int, error) {
 	var list []int
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -24,9 +24,7 @@
 	health     health
 	cold       coldBudget
 	prompts    bool // the target reads prompts
-	// coordinated tells that the target has a coordinator.
-	coordinated bool
-	pauses      pauses
+	pauses     pauses
 	// total is what the coordinator of the target last told of all hosts' calls, and
 	// began what this host has begun since then.
 	total hostShare
@@ -58,18 +56,14 @@
 	flights int     // of all hosts
 	backlog float64 // tokens of prompts that go before the call
 	unread  int     // tokens of its own prompt that the target has to read
-	// reading is how long the target has read prompts without a rest; 0 where
-	// targets have coordinators, who do not tell it.
+	// reading is how long the target has read prompts without a rest, for the choice
+	// of a target in a region without coordinators.
 	reading time.Duration
 }
 
 // view returns the target as the host believes.
 func (t *target) view(now time.Time, w Work) view {
-	v := view{target: t, flights: t.flights(now), backlog: t.backlog(now, w.Rank), unread: t.unread(now, w)}
-	if !t.coordinated {
-		v.reading = t.spell.lasts(now)
-	}
-	return v
+	return view{target: t, flights: t.flights(now), backlog: t.backlog(now, w.Rank), unread: t.unread(now, w)}
 }
 
 // viewOf returns the target as its coordinator has just told.
@@ -140,9 +134,7 @@
 			others += float64(s.backlog(rank))
 		}
 	}
-	if others > 0 {
-		others -= min(t.effectiveRate(now)*milliseconds(now.Sub(t.progressAt)), readOnShare*others)
-	}
+	others -= min(t.effectiveRate(now)*milliseconds(now.Sub(t.progressAt)), readOnShare*others)
 	return max(0, tokens+others)
 }
 
@@ -257,7 +249,7 @@
 	slots := max(1, v.Slots)
 	over := max(0, v.flights+1-slots)
 	if w.Tokens == 0 {
-		span := scale(v.span, v.slowdown(now))
+		span := Scale(v.span, v.slowdown(now))
 		return Prediction{Wait: span * time.Duration(over) / time.Duration(slots), Own: span}
 	}
 	rate := v.effectiveRate(now)
@@ -305,7 +297,8 @@
 
 func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+// Scale multiplies a time.
+func Scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // amount is the work of a call that was begun, in units of the flows.
 func (t *target) amount(f *Flight) float64 {
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -125,14 +125,22 @@
 	if revision < c.Now().Revision {
 		return
 	}
+	keys := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		keys[e.Key] = true
+	}
+	c.takeWhole(entries, keys, revision)
+}
+
+// takeWhole takes entries at a revision, and removes what is not among the keys that
+// there are.
+func (c *Catalogue) takeWhole(entries []keyvalue.Entry, keys map[string]bool, revision int64) {
 	next := c.next(revision)
-	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		seen[e.Key] = true
 		c.put(next, e)
 	}
 	for key := range c.entries {
-		if !seen[key] {
+		if !keys[key] {
 			c.remove(next, key, revision)
 		}
 	}
@@ -170,16 +178,11 @@
 	if d.Revision <= c.Now().Revision {
 		return
 	}
-	next := c.next(d.Revision)
-	for _, e := range d.Entries {
-		c.put(next, e)
+	keys := make(map[string]bool, len(d.Keys))
+	for _, key := range d.Keys {
+		keys[key] = true
 	}
-	for key := range c.entries {
-		if !slices.Contains(d.Keys, key) {
-			c.remove(next, key, d.Revision)
-		}
-	}
-	c.publish(next)
+	c.takeWhole(d.Entries, keys, d.Revision)
 }
 
 // Sweep drops the targets whose entries have been missing for too long.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -124,7 +124,7 @@
 	case <-f.g.clock.After(d + time.Duration(f.g.random()*float64(holdSpread))):
 	}
 	f.held += f.g.clock.Now().Sub(began)
-	f.work.Pressed = f.held >= scale(f.route.Aim, heldShare)
+	f.work.Pressed = f.held >= balance.Scale(f.route.Aim, heldShare)
 }
 
 // result tells how a send without an answer for the caller ended.
@@ -153,7 +153,10 @@
 func (f *flight) decide() (balance.Answer, balance.Choice) {
 	f.work.Said = nil
 	q, answer := f.weigh()
-	if answer.Local && f.confer() {
+	if answer.Local {
+		f.confer()
+	}
+	if len(f.work.Said) > 0 {
 		q, answer = f.weigh()
 	}
 	if answer.Spilled {
--- a/internal/gateway/confer.go
+++ b/internal/gateway/confer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,14 +28,14 @@
 	Loads  map[string]balance.TargetLoad `json:"Loads"`
 }
 
-// confer asks the coordinators of some targets before the call is sent to one, and
-// reports whether any said something. It asks none in a small region.
-func (f *flight) confer() bool {
+// confer asks the coordinators of some targets before the call is sent to one. It
+// asks none in a small region.
+func (f *flight) confer() {
 	g := f.g
 	asked, own := g.ask(f)
 	f.work.Said = own
 	if len(asked.to) == 0 {
-		return len(own) > 0
+		return
 	}
 	defer g.forgetQuestion(asked.number)
 	for host, targets := range asked.to {
@@ -46,17 +47,14 @@
 	for range asked.to {
 		select {
 		case w := <-asked.words:
-			for id, load := range w.Loads {
-				f.work.Said[id] = load
-			}
+			maps.Copy(f.work.Said, w.Loads)
 		case <-late:
 			g.metrics.add("words_late_total", 1)
-			return len(f.work.Said) > 0
+			return
 		case <-f.ctx.Done():
-			return len(f.work.Said) > 0
+			return
 		}
 	}
-	return len(f.work.Said) > 0
 }
 
 // asking is a question that waits for words.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -58,7 +58,7 @@
 	t := &try{f: f, exclude: append(slices.Clone(f.tried), id)}
 	t.ctx, t.cancel = context.WithCancel(f.ctx)
 	if !f.received && f.route.Repeatable() && f.sends+1 < f.route.MaxAttempts {
-		t.patience = max(patienceFactor*predicted, f.route.Aim, scale(f.left(), patienceShare))
+		t.patience = max(patienceFactor*predicted, f.route.Aim, balance.Scale(f.left(), patienceShare))
 		t.timer = time.AfterFunc(t.patience, t.lookElsewhere)
 	}
 	return t
@@ -87,11 +87,9 @@
 	work.Said = nil // said before the send
 	choice, ok := f.g.book.Choose(now, work, exclude)
 	return ok && !slices.Contains(exclude, choice.Target.ID) && f.g.budget(f.service).Left(now) >= 1 &&
-		choice.Prediction.Total() < scale(f.left(), lastTryShare)
+		choice.Prediction.Total() < balance.Scale(f.left(), lastTryShare)
 }
 
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
-
 // firstByte notes that the target has begun to answer.
 func (t *try) firstByte() {
 	if t.timer != nil {
