--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -29,23 +29,9 @@
 // Error is the error type of the package.
 type Error = failure.Error[Kind]
 
-// Problem is one error of a document, with the JSON pointer of its field.
-type Problem struct {
-	Path     string `json:"Path"`
-	Expected string `json:"Expected"`
-}
-
-// Problems is every error of a document, in order of path.
-type Problems []Problem
-
-// Error lists all problems, one a line.
-func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i, problem := range p {
-		lines[i] = problem.Path + ": " + problem.Expected
-	}
-	return strings.Join(lines, "\n")
-}
+// Problems is every error of a document with the JSON pointer of its field, in order
+// of path.
+type Problems = failure.Problems
 
 var (
 	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
@@ -76,40 +62,30 @@
 	return c.problems
 }
 
-func (c *checker) add(path, format string, args ...any) {
-	c.problems = append(c.problems, Problem{Path: path, Expected: fmt.Sprintf(format, args...)})
-}
-
-func (c *checker) require(ok bool, path, format string, args ...any) {
-	if !ok {
-		c.add(path, format, args...)
-	}
-}
-
 func (c *checker) name(path, name string) {
-	c.require(namePattern.MatchString(name), path, "expected %s", namePatternText)
+	c.problems.Require(namePattern.MatchString(name), path, "expected %s", namePatternText)
 }
 
 func (c *checker) regionNames(path string, names []string) {
-	c.require(len(names) > 0, path, "expected at least one region")
+	c.problems.Require(len(names) > 0, path, "expected at least one region")
 	for i, name := range names {
 		_, ok := c.document.Regions[name]
-		c.require(ok, fmt.Sprintf("%s/%d", path, i), "expected a region of /Regions, got %q", name)
+		c.problems.Require(ok, fmt.Sprintf("%s/%d", path, i), "expected a region of /Regions, got %q", name)
 	}
 }
 
 func (c *checker) regions() {
-	c.require(len(c.document.Regions) > 0, "/Regions", "expected at least one region")
+	c.problems.Require(len(c.document.Regions) > 0, "/Regions", "expected at least one region")
 	for _, name := range slices.Sorted(maps.Keys(c.document.Regions)) {
 		region := c.document.Regions[name]
 		path := "/Regions/" + name
 		c.name(path, name)
-		c.require(len(region.DataCentres) > 0, path+"/DataCentres", "expected at least one data centre")
+		c.problems.Require(len(region.DataCentres) > 0, path+"/DataCentres", "expected at least one data centre")
 		for i, centre := range region.DataCentres {
 			at := fmt.Sprintf("%s/DataCentres/%d", path, i)
 			c.name(at, centre)
 			if other, taken := c.centres[centre]; taken {
-				c.add(at, "expected a data centre of one region only, %q is also in %q", centre, other)
+				c.problems.Add(at, "expected a data centre of one region only, %q is also in %q", centre, other)
 			}
 			c.centres[centre] = name
 		}
@@ -120,13 +96,13 @@
 	for key, link := range c.document.Links {
 		path := "/Links/" + key
 		a, b, ok := strings.Cut(key, ":")
-		c.require(ok && a < b, path, "expected two regions in alphabetical order, joined by a colon")
+		c.problems.Require(ok && a < b, path, "expected two regions in alphabetical order, joined by a colon")
 		for _, name := range []string{a, b} {
 			_, known := c.document.Regions[name]
-			c.require(known, path, "expected a region of /Regions, got %q", name)
+			c.problems.Require(known, path, "expected a region of /Regions, got %q", name)
 		}
-		c.require(link.OneWayMs >= 0, path+"/OneWayMs", "expected milliseconds, zero or more")
-		c.require(link.MegabitPerSecond > 0, path+"/MegabitPerSecond", "expected a positive number")
+		c.problems.Require(link.OneWayMs >= 0, path+"/OneWayMs", "expected milliseconds, zero or more")
+		c.problems.Require(link.MegabitPerSecond > 0, path+"/MegabitPerSecond", "expected a positive number")
 	}
 }
 
@@ -134,12 +110,12 @@
 	for name, service := range c.document.Services {
 		path := "/Services/" + name
 		c.name(path, name)
-		c.require(service.Kind == KindModel || service.Kind == KindPlain, path+"/Kind",
+		c.problems.Require(service.Kind == KindModel || service.Kind == KindPlain, path+"/Kind",
 			"expected %q or %q, got %q", KindModel, KindPlain, service.Kind)
 		c.regionNames(path+"/Regions", service.Regions)
-		c.require(service.FirstTokenBudgetMs > 0, path+"/FirstTokenBudgetMs", "expected positive milliseconds")
-		c.require(service.LongTokens >= 0, path+"/LongTokens", "expected tokens, zero or more")
-		c.require(service.Kind == KindPlain || len(service.RepeatableMethods) == 0, path+"/RepeatableMethods",
+		c.problems.Require(service.FirstTokenBudgetMs > 0, path+"/FirstTokenBudgetMs", "expected positive milliseconds")
+		c.problems.Require(service.LongTokens >= 0, path+"/LongTokens", "expected tokens, zero or more")
+		c.problems.Require(service.Kind == KindPlain || len(service.RepeatableMethods) == 0, path+"/RepeatableMethods",
 			"expected none: calls of a model may always be repeated")
 	}
 }
@@ -151,17 +127,17 @@
 		path := "/Targets/" + name
 		c.name(path, name)
 		service, ok := c.document.Services[target.Service]
-		c.require(ok, path+"/Service", "expected a service of /Services, got %q", target.Service)
+		c.problems.Require(ok, path+"/Service", "expected a service of /Services, got %q", target.Service)
 		region, known := c.centres[target.DataCentre]
-		c.require(known, path+"/DataCentre", "expected a data centre of /Regions, got %q", target.DataCentre)
-		c.require(!known || region == target.Region, path+"/Region", "expected %q, the region of the data centre", region)
-		c.require(!ok || contains(service.Regions, target.Region), path+"/Region", "expected a region of the service")
-		c.require(hostPort.MatchString(target.Address), path+"/Address", "expected IP:port, got %q", target.Address)
+		c.problems.Require(known, path+"/DataCentre", "expected a data centre of /Regions, got %q", target.DataCentre)
+		c.problems.Require(!known || region == target.Region, path+"/Region", "expected %q, the region of the data centre", region)
+		c.problems.Require(!ok || contains(service.Regions, target.Region), path+"/Region", "expected a region of the service")
+		c.problems.Require(hostPort.MatchString(target.Address), path+"/Address", "expected IP:port, got %q", target.Address)
 		if other, taken := addresses[target.Address]; taken {
-			c.add(path+"/Address", "expected an address of its own, %q has it too", other)
+			c.problems.Add(path+"/Address", "expected an address of its own, %q has it too", other)
 		}
 		addresses[target.Address] = name
-		c.require(target.Slots > 0, path+"/Slots", "expected a positive number")
+		c.problems.Require(target.Slots > 0, path+"/Slots", "expected a positive number")
 	}
 }
 
@@ -177,10 +153,10 @@
 		path := "/Workspaces/" + name
 		c.name(path, name)
 		c.regionNames(path+"/Residency", workspace.Residency)
-		c.require(contains(workspace.Residency, workspace.Home), path+"/Home", "expected a region of Residency, got %q", workspace.Home)
-		c.require(workspace.RequestsPerSecond >= 0, path+"/RequestsPerSecond", "expected a rate, zero for none")
-		c.require(workspace.Burst >= 0, path+"/Burst", "expected a number, zero or more")
-		c.require(workspace.RequestsPerSecond == 0 || workspace.Burst > 0, path+"/Burst", "expected a positive number beside RequestsPerSecond")
+		c.problems.Require(contains(workspace.Residency, workspace.Home), path+"/Home", "expected a region of Residency, got %q", workspace.Home)
+		c.problems.Require(workspace.RequestsPerSecond >= 0, path+"/RequestsPerSecond", "expected a rate, zero for none")
+		c.problems.Require(workspace.Burst >= 0, path+"/Burst", "expected a number, zero or more")
+		c.problems.Require(workspace.RequestsPerSecond == 0 || workspace.Burst > 0, path+"/Burst", "expected a positive number beside RequestsPerSecond")
 	}
 }
 
@@ -193,18 +169,18 @@
 		switch key.Role {
 		case RoleCaller:
 			_, ok := c.document.Workspaces[key.Workspace]
-			c.require(ok, path+"/Workspace", "expected a workspace of /Workspaces, got %q", key.Workspace)
+			c.problems.Require(ok, path+"/Workspace", "expected a workspace of /Workspaces, got %q", key.Workspace)
 		case RoleReader, RoleOperator:
-			c.require(key.Workspace == "", path+"/Workspace", "expected none for the role %q", key.Role)
+			c.problems.Require(key.Workspace == "", path+"/Workspace", "expected none for the role %q", key.Role)
 		default:
-			c.add(path+"/Role", "expected %q, %q or %q, got %q", RoleCaller, RoleReader, RoleOperator, key.Role)
+			c.problems.Add(path+"/Role", "expected %q, %q or %q, got %q", RoleCaller, RoleReader, RoleOperator, key.Role)
 		}
-		c.require(len(key.Digests) > 0, path+"/Digests", "expected at least one digest")
+		c.problems.Require(len(key.Digests) > 0, path+"/Digests", "expected at least one digest")
 		for i, digest := range key.Digests {
 			at := fmt.Sprintf("%s/Digests/%d", path, i)
-			c.require(digestPattern.MatchString(digest), at, "expected a SHA-256 digest in 64 hexadecimal digits")
+			c.problems.Require(digestPattern.MatchString(digest), at, "expected a SHA-256 digest in 64 hexadecimal digits")
 			if other, taken := owners[digest]; taken {
-				c.add(at, "expected a digest of one key only, %q has it too", other)
+				c.problems.Add(at, "expected a digest of one key only, %q has it too", other)
 			}
 			owners[digest] = name
 		}
@@ -224,9 +200,9 @@
 		{"CallTimeoutSec", l.CallTimeoutSec},
 	}
 	for _, count := range counts {
-		c.require(count.value > 0, "/Limits/"+count.name, "expected a positive number")
+		c.problems.Require(count.value > 0, "/Limits/"+count.name, "expected a positive number")
 	}
-	c.require(l.MaxBodyBytes <= MaxBodyBytes, "/Limits/MaxBodyBytes", "expected at most %d", MaxBodyBytes)
+	c.problems.Require(l.MaxBodyBytes <= MaxBodyBytes, "/Limits/MaxBodyBytes", "expected at most %d", MaxBodyBytes)
 	shares := []struct {
 		name  string
 		value float64
@@ -237,7 +213,7 @@
 		{"LongSlotShare", l.LongSlotShare},
 	}
 	for _, share := range shares {
-		c.require(share.value >= 0 && share.value <= 1, "/Limits/"+share.name, "expected a share from 0 to 1")
+		c.problems.Require(share.value >= 0 && share.value <= 1, "/Limits/"+share.name, "expected a share from 0 to 1")
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue/etcd"
 	"github.com/sequoiarack/sequoiarack/internal/ledger"
 	"github.com/sequoiarack/sequoiarack/internal/link"
+	"github.com/sequoiarack/sequoiarack/internal/logsink"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
 	"github.com/sequoiarack/sequoiarack/internal/placer"
@@ -164,14 +165,10 @@
 		Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: maxHeaderBytes,
 		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxRequestBodySize: config.MaxBodyBytes, CloseOnShutdown: true,
-		ErrorHandler: d.serveBadRequest, Logger: discard{}, ReduceMemoryUsage: true,
+		ErrorHandler: d.serveBadRequest, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
 	}
 }
 
-type discard struct{}
-
-func (discard) Printf(string, ...any) {}
-
 // Run serves until ctx ends, without waiting for what is in flight, or until a
 // drain has ended.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -194,7 +191,7 @@
 	group.Go("caller server", d.server(d.callerServer, d.callerListener))
 	group.Go("peer server", d.server(d.peerServer, d.peerListener))
 	d.log.Info("The host serves.", "CallerAddress", d.settings.CallerAddress)
-	go d.watchEnds(ctx, group)
+	go group.LogFailures(ctx.Done(), d.log)
 	err := group.Wait()
 	d.pool.Close()
 	d.peers.Close()
@@ -203,19 +200,6 @@
 	return err
 }
 
-func (d *Daemon) watchEnds(ctx context.Context, group *duty.Group) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case end := <-group.Ends():
-			if end.Err != nil {
-				d.log.Error(end.Err, "A duty failed.", "Duty", end.Name)
-			}
-		}
-	}
-}
-
 func (d *Daemon) server(s *fasthttp.Server, listener net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -133,11 +133,11 @@
 // patchErrorBody is the answer to a patch that was not accepted. Outcome says
 // NotRun when it never will be.
 type patchErrorBody struct {
-	Reason   core.Reason      `json:"Reason"`
-	Outcome  core.Outcome     `json:"Outcome"`
-	Message  string           `json:"Message"`
-	Version  uint64           `json:"Version"`
-	Problems []config.Problem `json:"Problems,omitempty"`
+	Reason   core.Reason     `json:"Reason"`
+	Outcome  core.Outcome    `json:"Outcome"`
+	Message  string          `json:"Message"`
+	Version  uint64          `json:"Version"`
+	Problems config.Problems `json:"Problems,omitempty"`
 }
 
 func (d *Daemon) servePatch(within context.Context, ctx *fasthttp.RequestCtx) {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sequoiarack/sequoiarack/internal/clock"
@@ -40,8 +41,19 @@
 	})
 }
 
-// Ends returns the channel on which each duty reports its end.
-func (g *Group) Ends() <-chan End { return g.ends }
+// LogFailures logs each duty that fails, until ended is closed.
+func (g *Group) LogFailures(ended <-chan struct{}, log logr.Logger) {
+	for {
+		select {
+		case <-ended:
+			return
+		case end := <-g.ends:
+			if end.Err != nil {
+				log.Error(end.Err, "A duty failed.", "Duty", end.Name)
+			}
+		}
+	}
+}
 
 // Wait waits for every duty and returns the first failure.
 func (g *Group) Wait() error { return g.group.Wait() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/hangup"
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/link"
+	"github.com/sequoiarack/sequoiarack/internal/logsink"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/quarantine"
 	"github.com/sequoiarack/sequoiarack/internal/ring"
@@ -209,15 +210,10 @@
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxRequestBodySize: maxCallBytes, Logger: quietLogger{}, ReduceMemoryUsage: true,
+		MaxRequestBodySize: maxCallBytes, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
 	}
 }
 
-// quietLogger drops what the HTTP server says of connections that break off.
-type quietLogger struct{}
-
-func (quietLogger) Printf(string, ...any) {}
-
 // Run serves until ctx ends, without waiting for what is in flight, or until
 // Drain has ended.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -240,7 +236,7 @@
 	}
 	g.log.Info("The host serves.", "CallerAddress", g.settings.CallerAddress, "Region", g.settings.Region, "Seeds", g.settings.Seeds)
 	ended := make(chan struct{})
-	go g.watchEnds(group, ended)
+	go group.LogFailures(ended, g.log)
 	err := group.Wait()
 	close(ended)
 	for _, p := range []*exchange.Pool{g.pool, g.peers, g.controls, g.stores} {
@@ -250,20 +246,6 @@
 	return err
 }
 
-// watchEnds logs duties that fail, until all have ended.
-func (g *Gateway) watchEnds(group *duty.Group, ended <-chan struct{}) {
-	for {
-		select {
-		case <-ended:
-			return
-		case end := <-group.Ends():
-			if end.Err != nil {
-				g.log.Error(end.Err, "A duty failed.", "Duty", end.Name)
-			}
-		}
-	}
-}
-
 // run serves until ctx ends, and then closes idle connections and the listener.
 func (s served) run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -82,11 +82,7 @@
 // Check returns every wrong setting.
 func (s Settings) Check() settings.Problems {
 	var problems settings.Problems
-	require := func(ok bool, name, format string, args ...any) {
-		if !ok {
-			problems = append(problems, settings.Problem{Field: name, Expected: fmt.Sprintf(format, args...)})
-		}
-	}
+	require := problems.Require
 	address := func(name, value string) {
 		host, _, err := net.SplitHostPort(value)
 		require(err == nil && net.ParseIP(host) != nil, name, "expected IP:port, got %q", value)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -56,3 +56,9 @@
 	}
 	_, _ = s.to.Write(line) // nobody is left to tell of a failure
 }
+
+// Discard drops what an HTTP server says of connections that break off.
+type Discard struct{}
+
+// Printf does nothing.
+func (Discard) Printf(string, ...any) {}
--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -22,23 +22,8 @@
 // Error is the error type of the package.
 type Error = failure.Error[Fault]
 
-// Problem is one wrong field of a document.
-type Problem struct {
-	Path     string
-	Expected string
-}
-
 // Problems is every wrong field of a document.
-type Problems []Problem
-
-// Error lists all problems, one a line.
-func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i, problem := range p {
-		lines[i] = problem.Path + ": " + problem.Expected
-	}
-	return strings.Join(lines, "\n")
-}
+type Problems = failure.Problems
 
 // Check returns an Error that lists every wrong field, or nil.
 func Check(d Document) error {
@@ -46,7 +31,7 @@
 	for i, s := range d.Services {
 		c.service(fmt.Sprintf("Services[%d]", i), s)
 	}
-	c.require(d.Version > 0, "Version", "expected a positive number")
+	c.problems.Require(d.Version > 0, "Version", "expected a positive number")
 	for i := range d.Routes {
 		c.route(fmt.Sprintf("Routes[%d]", i), &d.Routes[i])
 	}
@@ -61,33 +46,27 @@
 	problems Problems
 }
 
-func (c *checker) require(ok bool, path, format string, args ...any) {
-	if !ok {
-		c.problems = append(c.problems, Problem{Path: path, Expected: fmt.Sprintf(format, args...)})
-	}
-}
-
 func (c *checker) service(path string, s Service) {
-	c.require(s.Name != "", path+".Name", "expected a name")
-	c.require(!c.services[s.Name], path+".Name", "expected a name that no other service has, got %q", s.Name)
+	c.problems.Require(s.Name != "", path+".Name", "expected a name")
+	c.problems.Require(!c.services[s.Name], path+".Name", "expected a name that no other service has, got %q", s.Name)
 	c.services[s.Name] = true
-	c.require(s.ColdPerSecond >= 0, path+".ColdPerSecond", "expected no negative rate, got %g", s.ColdPerSecond)
+	c.problems.Require(s.ColdPerSecond >= 0, path+".ColdPerSecond", "expected no negative rate, got %g", s.ColdPerSecond)
 }
 
 func (c *checker) route(path string, r *Route) {
-	c.require(r.Name != "", path+".Name", "expected a name")
-	c.require(r.Host != "", path+".Host", "expected a host")
-	c.require(strings.HasPrefix(r.PathPrefix, "/") && strings.HasSuffix(r.PathPrefix, "/"),
+	c.problems.Require(r.Name != "", path+".Name", "expected a name")
+	c.problems.Require(r.Host != "", path+".Host", "expected a host")
+	c.problems.Require(strings.HasPrefix(r.PathPrefix, "/") && strings.HasSuffix(r.PathPrefix, "/"),
 		path+".PathPrefix", "expected a path that begins and ends with a slash, got %q", r.PathPrefix)
-	c.require(r.MaxAttempts > 0, path+".MaxAttempts", "expected a positive number, got %d", r.MaxAttempts)
-	c.require(r.Timeout >= 0, path+".Timeout", "expected no negative time, got %s", r.Timeout)
-	c.require(len(r.Splits) > 0, path+".Splits", "expected at least one service")
+	c.problems.Require(r.MaxAttempts > 0, path+".MaxAttempts", "expected a positive number, got %d", r.MaxAttempts)
+	c.problems.Require(r.Timeout >= 0, path+".Timeout", "expected no negative time, got %s", r.Timeout)
+	c.problems.Require(len(r.Splits) > 0, path+".Splits", "expected at least one service")
 	total := 0
 	for i, s := range r.Splits {
 		at := fmt.Sprintf("%s.Splits[%d]", path, i)
-		c.require(c.services[s.Service], at+".Service", "expected a service of the document, got %q", s.Service)
-		c.require(s.Weight >= 0, at+".Weight", "expected no negative weight, got %d", s.Weight)
+		c.problems.Require(c.services[s.Service], at+".Service", "expected a service of the document, got %q", s.Service)
+		c.problems.Require(s.Weight >= 0, at+".Weight", "expected no negative weight, got %d", s.Weight)
 		total += max(s.Weight, 0)
 	}
-	c.require(total > 0, path+".Splits", "expected a positive weight")
+	c.problems.Require(total > 0, path+".Splits", "expected a positive weight")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,23 +81,8 @@
 	return host
 }
 
-// Problem is one wrong setting.
-type Problem struct {
-	Field    string
-	Expected string
-}
-
 // Problems is every wrong setting.
-type Problems []Problem
-
-// Error lists all problems, one a line.
-func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i, problem := range p {
-		lines[i] = problem.Field + ": " + problem.Expected
-	}
-	return strings.Join(lines, "\n")
-}
+type Problems = failure.Problems
 
 // field couples a setting with its flag.
 type field struct {
@@ -199,7 +184,7 @@
 			continue
 		}
 		if err := item.set(settings, *f.values[item.flag]); err != nil {
-			problems = append(problems, Problem{item.name, err.Error()})
+			problems.Add(item.name, "%s", err)
 		}
 	}
 	return problems
@@ -230,11 +215,7 @@
 // Check returns every wrong setting.
 func Check(s Settings) Problems {
 	var problems Problems
-	require := func(ok bool, name, format string, args ...any) {
-		if !ok {
-			problems = append(problems, Problem{name, fmt.Sprintf(format, args...)})
-		}
-	}
+	require := problems.Require
 	const nameText = "expected a name of lower-case letters, digits, dots and dashes, got %q"
 	require(namePattern.MatchString(s.Host), "Host", nameText, s.Host)
 	require(namePattern.MatchString(s.Region), "Region", nameText, s.Region)
@@ -259,7 +240,7 @@
 		"BootstrapOperatorDigest", "expected a SHA-256 digest in 64 hexadecimal digits")
 	require(s.DrainSeconds > 0, "DrainSeconds", "expected positive seconds, got %d", s.DrainSeconds)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
-	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Field < problems[j].Field })
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
 	return problems
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/logsink"
 )
 
 // Fault is the set of fault switches of a stand-in. Its JSON form is read and
@@ -64,15 +66,11 @@
 	s.http = &fasthttp.Server{
 		Handler: s.serve, ConnState: s.track, NoDefaultServerHeader: true, NoDefaultDate: true,
 		MaxRequestBodySize: standinMaxBodyBytes, Concurrency: standinConcurrency,
-		Logger: silent{}, CloseOnShutdown: true,
+		Logger: logsink.Discard{}, CloseOnShutdown: true,
 	}
 	return s
 }
 
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
-
 // Listen starts to serve at address; port 0 picks a free one.
 func (s *Server) Listen(address string) error {
 	listener, err := net.Listen("tcp", address)
