internal/rendezvous: pick one of several by hash in one place

Found on reading the change once more: picking a host by the highest hash was written again for coordinators, cold targets and the reader of the store, beside the one that places calls in serve; and six loops chose hosts of the view by a condition. One function picks and one method of the view chooses; the texts that are hashed stay as they were, so the same hosts are picked. No test was changed.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+	"github.com/sequoiarack/sequoiarack/internal/rendezvous"
 )
 
 // Hosts is what the book must know of the region's hosts.
@@ -106,18 +107,13 @@
 	if !b.hosts.Settled || 2*len(b.hosts.Live) <= b.hosts.Known || !t.cold.allows(now) {
 		return false
 	}
-	return First(b.hosts.Live, t.ID) == b.hosts.Self
+	return first(b.hosts.Live, t.ID) == b.hosts.Self
 }
 
-// First returns the name with the highest hash together with the key.
-func First(names []string, key string) string {
-	best, rank := "", uint64(0)
-	for _, name := range names {
-		if r := xxhash.Sum64String(name + "\x00" + key); best == "" || r > rank || (r == rank && name < best) {
-			best, rank = name, r
-		}
-	}
-	return best
+// first returns the host that is picked for a key.
+func first(hosts []string, key string) string {
+	host, _ := rendezvous.First(hosts, func(name string) string { return name + "\x00" + key })
+	return host
 }
 
 // Choice is the best target for a call.
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -54,7 +54,7 @@
 
 // CoordinatorOf returns the host that coordinates a target.
 func (b *Book) CoordinatorOf(target string) string {
-	return First(b.hosts.Live, coordinateKey+target)
+	return first(b.hosts.Live, coordinateKey+target)
 }
 
 // Candidates returns the targets to ask about before a call is sent.
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/feed"
+	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/residency"
 )
@@ -181,14 +182,9 @@
 
 // otherPeer returns the peer address of some other host that is in use.
 func (d *Daemon) otherPeer() (string, bool) {
-	var choices []string
-	for _, m := range d.gossip.View().Members {
-		if m.Host != d.settings.Host && m.InUse() {
-			choices = append(choices, m.PeerAddress)
-		}
-	}
+	choices := d.gossip.View().Where(func(m member.Info) bool { return m.Host != d.settings.Host && m.InUse() })
 	if len(choices) == 0 {
 		return "", false
 	}
-	return choices[rand.IntN(len(choices))], true
+	return choices[rand.IntN(len(choices))].PeerAddress, true
 }
--- a/internal/daemon/placing.go
+++ b/internal/daemon/placing.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/duty"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
+	"github.com/sequoiarack/sequoiarack/internal/rendezvous"
 )
 
 const (
@@ -28,15 +29,10 @@
 // region, and whether that is this one.
 func (d *Daemon) placingHost(service string) (member.Info, bool) {
 	view := d.gossip.View()
-	best := view.Self
-	bestHash := uint64(0)
-	for _, m := range view.Members {
-		if m.Region != d.settings.Region || !m.InUse() {
-			continue
-		}
-		if h := xxhash.Sum64String(service + "/" + m.Host); h > bestHash {
-			best, bestHash = m, h
-		}
+	hosts := view.Where(func(m member.Info) bool { return m.Region == d.settings.Region && m.InUse() })
+	best, ok := rendezvous.First(hosts, func(m member.Info) string { return service + "/" + m.Host })
+	if !ok {
+		best = view.Self
 	}
 	return best, best.Host == view.Self.Host
 }
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -65,13 +65,7 @@
 }
 
 func (d *Daemon) matesInUse() []member.Info {
-	var out []member.Info
-	for _, m := range d.gossip.View().Members {
-		if m.DataCentre == d.settings.DataCentre && m.InUse() {
-			out = append(out, m)
-		}
-	}
-	return out
+	return d.gossip.View().Where(func(m member.Info) bool { return m.DataCentre == d.settings.DataCentre && m.InUse() })
 }
 
 // ranksFor reports whether this host is one of the first for a name by
--- a/internal/gateway/confer.go
+++ b/internal/gateway/confer.go
@@ -157,11 +157,5 @@
 
 // infos returns what is known of hosts.
 func (g *Gateway) infos(hosts []string) []member.Info {
-	var out []member.Info
-	for _, m := range g.gossip.View().Members {
-		if slices.Contains(hosts, m.Host) {
-			out = append(out, m)
-		}
-	}
-	return out
+	return g.gossip.View().Where(func(m member.Info) bool { return slices.Contains(hosts, m.Host) })
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -60,12 +60,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	var choices []member.Info
-	for _, m := range view.Members {
-		if m.Region == region && m.InUse() && now.After(g.lost[m.Host]) {
-			choices = append(choices, m)
-		}
-	}
+	choices := view.Where(func(m member.Info) bool { return m.Region == region && m.InUse() && now.After(g.lost[m.Host]) })
 	if len(choices) == 0 {
 		return member.Info{}, false
 	}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -8,10 +8,10 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/rendezvous"
 )
 
 const (
@@ -25,7 +25,7 @@
 	// maxTellers bounds the hosts that are told at once.
 	maxTellers = 8
 	// readerKey picks the host of a data centre that reads the store.
-	readerKey = "store reader"
+	readerKey = "\x00store reader"
 )
 
 // circle is the hosts of a data centre, one of which reads the store.
@@ -46,13 +46,9 @@
 // readerOf returns the host that reads the store for a data centre, as far as this
 // one knows.
 func (g *Gateway) readerOf(dataCentre string) string {
-	var names []string
-	for _, m := range g.gossip.View().Members {
-		if m.DataCentre == dataCentre && m.InUse() {
-			names = append(names, m.Host)
-		}
-	}
-	return balance.First(names, readerKey)
+	hosts := g.gossip.View().Where(func(m member.Info) bool { return m.DataCentre == dataCentre && m.InUse() })
+	reader, _ := rendezvous.First(hosts, func(m member.Info) string { return m.Host + readerKey })
+	return reader.Host
 }
 
 // tellNews is the duty that tells other hosts what the store says: those of the
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -79,13 +79,9 @@
 
 // mates returns the other hosts of the region.
 func (g *Gateway) mates() []member.Info {
-	var out []member.Info
-	for _, m := range g.gossip.View().Members {
-		if m.Host != g.settings.Host && m.Status != member.Gone && m.Region == g.settings.Region {
-			out = append(out, m)
-		}
-	}
-	return out
+	return g.gossip.View().Where(func(m member.Info) bool {
+		return m.Host != g.settings.Host && m.Status != member.Gone && m.Region == g.settings.Region
+	})
 }
 
 // shareAway tells one host of each other region what the own one can do. The hosts
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -47,6 +47,17 @@
 	CutCentres map[string]bool
 }
 
+// Where returns the hosts of the view that are to be kept, in its order.
+func (v *View) Where(keep func(member.Info) bool) []member.Info {
+	var out []member.Info
+	for _, m := range v.Members {
+		if keep(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Counts tells how much the protocol has sent and received.
 type Counts struct {
 	SentMessages     atomic.Int64
