--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -94,6 +94,11 @@
 
 // usable reports whether new calls may go to the target.
 func (b *Book) usable(now time.Time, t *target) bool {
+	return !t.refuses(now) && b.inService(now, t)
+}
+
+// inService reports whether calls may go to the target as far as the store says.
+func (b *Book) inService(now time.Time, t *target) bool {
 	if t.State != catalogue.Ready {
 		return false
 	}
@@ -170,7 +175,12 @@
 func (b *Book) views(now time.Time, w Work, choices []*target) []view {
 	var out []view
 	for _, t := range choices {
-		if load, ok := w.Said[t.ID]; ok {
+		load, ok := w.Said[t.ID]
+		if !ok {
+			continue
+		}
+		t.takeSpare(now, load.TargetShare)
+		if load.SpareMs == 0 {
 			out = append(out, t.viewOf(w, load))
 		}
 	}
@@ -250,7 +260,8 @@
 }
 
 // serving returns the usable targets of a service in order of ID. It leaves out
-// ejected and excluded ones as long as others are there.
+// excluded ones, and those that are ejected or want nothing from other hosts, as long
+// as others are there.
 func (b *Book) serving(now time.Time, service string, exclude []string) []*target {
 	var good, ejected, excluded []*target
 	for _, t := range b.targets {
@@ -258,7 +269,7 @@
 		case t.Service != service || !b.usable(now, t):
 		case slices.Contains(exclude, t.ID):
 			excluded = append(excluded, t)
-		case t.health.out(now):
+		case t.health.out(now), t.spared(now):
 			ejected = append(ejected, t)
 		default:
 			good = append(good, t)
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -41,11 +41,11 @@
 
 // UnmarshalJSON reads the list of figures.
 func (l *TargetLoad) UnmarshalJSON(data []byte) error {
-	list, err := unmarshalInts(data, ranksTold+3)
+	list, err := unmarshalInts(data, shareFigures+1)
 	if err != nil {
 		return err
 	}
-	*l = TargetLoad{TargetShare: shareOf(list), Unread: list[ranksTold+2]}
+	*l = TargetLoad{TargetShare: shareOf(list), Unread: list[shareFigures]}
 	return nil
 }
 
@@ -102,7 +102,7 @@
 	pause, _ := t.pause(now)
 	urgent := int(t.backlog(now, 0))
 	return TargetShare{
-		Flights: t.flights(now), PauseMs: int(pause.Milliseconds()),
+		Flights: t.flights(now), PauseMs: int(pause.Milliseconds()), SpareMs: max(millisecondsLeft(now, t.refusesUntil), millisecondsLeft(now, t.sparedUntil)),
 		Backlog: [ranksTold]int{urgent, int(t.backlog(now, ranksTold)) - urgent},
 	}
 }
@@ -185,6 +185,7 @@
 		delete(t.shares, host)
 	} else {
 		t.shares[host] = hostShare{TargetShare: c.Has, at: now, age: changeAge}
+		t.takeSpare(now, c.Has)
 	}
 	t.noteSpell(now)
 }
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -74,6 +74,9 @@
 	Left time.Duration
 	// Begun tells that the call may have run, and is only to be brought to its end.
 	Begun bool
+	// Opens is how long it takes until a target at home is in use again that wants
+	// nothing now, 0 if there is none.
+	Opens time.Duration
 	// Typical is the usual own time of calls like this one.
 	Typical time.Duration
 	// Spread is a number from 0 to 1 that differs from call to call.
@@ -171,9 +174,10 @@
 	return best, len(q.Away) > 0 && !strained(q.Work, best.Pause) && best.Wait <= limit && best.Total() < q.Left
 }
 
-// retryAfter is when the wait is expected to have fallen to half of the limit.
+// retryAfter is when the wait is expected to have fallen to half of the limit, and
+// not before a target is in use.
 func retryAfter(q Question, limit time.Duration) time.Duration {
-	over := time.Duration(0)
+	over := q.Opens
 	if q.Here {
 		over = max(0, q.Local.Prediction.Wait-limit/2)
 	}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -34,6 +34,8 @@
 	Failed
 	// Refused is a refusal without running the call.
 	Refused
+	// Deferred is a refusal for a time that the target named.
+	Deferred
 	// Unreached means that no connection was made.
 	Unreached
 	// Silent means that the call was sent and no whole answer came.
@@ -45,7 +47,7 @@
 
 // String returns the result's name.
 func (r Result) String() string {
-	return [...]string{"Answered", "Failed", "Refused", "Unreached", "Silent", "Abandoned"}[r]
+	return [...]string{"Answered", "Failed", "Refused", "Deferred", "Unreached", "Silent", "Abandoned"}[r]
 }
 
 // health is what the ends of calls say of a target.
@@ -58,7 +60,7 @@
 }
 
 func (h *health) note(now time.Time, r Result) {
-	if r == Abandoned {
+	if r == Abandoned || r == Deferred {
 		return
 	}
 	h.faults, h.at = h.share(now), now
@@ -68,7 +70,7 @@
 		h.inRow, h.ejections = 0, 0
 		h.ejectedUntil = time.Time{}
 		return
-	case Abandoned, Failed, Refused, Unreached, Silent:
+	case Abandoned, Deferred, Failed, Refused, Unreached, Silent:
 	}
 	h.faults += learnShare * (1 - h.faults)
 	h.inRow++
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -20,6 +20,8 @@
 	Backlog [ranksTold]int
 	// PauseMs is the mean pause between the events of streams lately, 0 for none.
 	PauseMs int
+	// SpareMs is for how much longer the target wants nothing from the host.
+	SpareMs int
 }
 
 // MarshalJSON writes the figures as a list, as shares go out several times a second.
@@ -27,7 +29,7 @@
 
 // UnmarshalJSON reads the list of figures.
 func (s *TargetShare) UnmarshalJSON(data []byte) error {
-	list, err := unmarshalInts(data, ranksTold+2)
+	list, err := unmarshalInts(data, shareFigures)
 	if err != nil {
 		return err
 	}
@@ -35,10 +37,15 @@
 	return nil
 }
 
-func (s TargetShare) ints() []int { return []int{s.Flights, s.Backlog[0], s.Backlog[1], s.PauseMs} }
+// shareFigures is how many figures a TargetShare has.
+const shareFigures = ranksTold + 3
+
+func (s TargetShare) ints() []int {
+	return []int{s.Flights, s.Backlog[0], s.Backlog[1], s.PauseMs, s.SpareMs}
+}
 
 func shareOf(list []int) TargetShare {
-	return TargetShare{Flights: list[0], Backlog: [ranksTold]int{list[1], list[2]}, PauseMs: list[3]}
+	return TargetShare{Flights: list[0], Backlog: [ranksTold]int{list[1], list[2]}, PauseMs: list[3], SpareMs: list[4]}
 }
 
 // unmarshalInts reads a list of n figures, none of them negative.
@@ -91,7 +98,7 @@
 	}
 	s.Targets = map[string]TargetShare{}
 	for id, t := range b.targets {
-		if len(t.flying) > 0 {
+		if len(t.flying) > 0 || t.refuses(now) {
 			s.Targets[id] = t.own(now)
 		}
 	}
@@ -101,7 +108,7 @@
 // own is what the host itself has at the target.
 func (t *target) own(now time.Time) TargetShare {
 	pause, _ := t.pauses.mean(now)
-	share := TargetShare{Flights: len(t.flying), PauseMs: int(pause.Milliseconds())}
+	share := TargetShare{Flights: len(t.flying), PauseMs: int(pause.Milliseconds()), SpareMs: millisecondsLeft(now, t.refusesUntil)}
 	for f := range t.flying {
 		if !f.first {
 			share.Backlog[min(f.work.Rank, ranksTold-1)] += f.unread
@@ -135,6 +142,7 @@
 	for id, total := range s.Totals {
 		if t := b.targets[id]; t != nil {
 			t.total = hostShare{TargetShare: total, at: now, age: shareAge}
+			t.takeSpare(now, total)
 		}
 	}
 	if s.Targets == nil {
@@ -143,6 +151,7 @@
 	for id, t := range b.targets {
 		if share, ok := s.Targets[id]; ok {
 			t.shares[host] = hostShare{TargetShare: share, at: now, age: shareAge}
+			t.takeSpare(now, share)
 		} else {
 			delete(t.shares, host)
 		}
@@ -164,6 +173,7 @@
 	Cold      bool
 	Usable    bool
 	Ejected   bool
+	Spared    bool
 	Flights   int
 	Backlog   int
 	Rate      float64
@@ -176,7 +186,7 @@
 	for _, t := range b.targets {
 		out = append(out, TargetDump{
 			ID: t.ID, Service: t.Service, Address: t.Address, State: t.State.String(), Cold: now.Before(t.ColdUntil),
-			Usable: b.usable(now, t), Ejected: t.health.out(now), Flights: t.flights(now),
+			Usable: b.usable(now, t), Ejected: t.health.out(now), Spared: t.refuses(now) || t.spared(now), Flights: t.flights(now),
 			Backlog: int(t.backlog(now, ranksTold)), Rate: t.rate(), FaultRate: t.health.share(now),
 		})
 	}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -30,6 +30,10 @@
 	total hostShare
 	began []beginning
 	spell spell
+	// refusesUntil is until when the target wants nothing from this host, and
+	// sparedUntil until when it wants nothing from some other one.
+	refusesUntil time.Time
+	sparedUntil  time.Time
 	// saidAt is when the host last told the coordinator what it has at the target.
 	saidAt time.Time
 }
@@ -84,6 +88,7 @@
 	t.parts = map[partKey]time.Time{}
 	t.health = health{}
 	t.load, t.loadAt = Load{}, time.Time{}
+	t.refusesUntil, t.sparedUntil = time.Time{}, time.Time{}
 }
 
 // flights counts the calls of all hosts at the target.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -34,6 +34,14 @@
 // the outage may take to write it again.
 const lapseGrace = 2 * time.Second
 
+const (
+	// maxLeft is how many targets that have left are remembered before those are
+	// forgotten that have been gone for leftMemory, far longer than a target serves
+	// after its word.
+	maxLeft    = 1024
+	leftMemory = 10 * time.Minute
+)
+
 // Snapshot is the state at one moment. It is immutable.
 type Snapshot struct {
 	Revision  int64
@@ -53,6 +61,9 @@
 	mu      sync.Mutex
 	entries map[string]keyvalue.Entry
 	removed map[string]int64 // revisions of removals
+	// left are the targets that have said in an answer that they leave, by
+	// incarnation, with the time when this was learned.
+	left map[string]time.Time
 	// returned is when the store came back, until the first word of it is taken;
 	// what that says was removed may have lapsed in the outage.
 	returned time.Time
@@ -75,7 +86,7 @@
 func New(decoder Decoder, regions map[string]string, options ...Option) *Catalogue {
 	c := &Catalogue{
 		decoder: decoder, regions: regions, clock: clock.System{}, log: logr.Discard(), changed: func(*Snapshot) {},
-		entries: map[string]keyvalue.Entry{}, removed: map[string]int64{},
+		entries: map[string]keyvalue.Entry{}, removed: map[string]int64{}, left: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(c)
@@ -185,6 +196,46 @@
 	c.takeWhole(d.Entries, keys, d.Revision)
 }
 
+// Leaves takes the word of a target's process that it leaves, which nothing that the
+// store says of that process undoes. It reports whether this is news.
+func (c *Catalogue) Leaves(incarnation string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.left[incarnation]; known {
+		return false
+	}
+	c.forgetLeft()
+	c.left[incarnation] = c.clock.Now()
+	for id, t := range c.Now().Targets {
+		if t.Incarnation != incarnation || t.State == Draining {
+			continue
+		}
+		next := c.next(c.Now().Revision)
+		t.State = Draining
+		next.Targets[id] = t
+		c.snapshot.Store(next)
+		c.changed(next)
+		return true
+	}
+	return false
+}
+
+// forgetLeft makes room among the targets that have left. Those that are still there
+// stay, as the store may call them ready.
+func (c *Catalogue) forgetLeft() {
+	if len(c.left) < maxLeft {
+		return
+	}
+	there := map[string]bool{}
+	for _, t := range c.Now().Targets {
+		there[t.Incarnation] = true
+	}
+	now := c.clock.Now()
+	maps.DeleteFunc(c.left, func(incarnation string, at time.Time) bool {
+		return !there[incarnation] && now.Sub(at) > leftMemory
+	})
+}
+
 // Sweep drops the targets whose entries have been missing for too long.
 func (c *Catalogue) Sweep() {
 	c.mu.Lock()
@@ -281,10 +332,11 @@
 		r.State = Draining // leaving is for good
 	}
 	now := c.clock.Now()
-	t := Target{
-		Report: r, Region: c.regions[r.DataCentre],
-		Incarnation: r.ID + "@" + strconv.FormatInt(r.Born, 10), ColdUntil: now.Add(r.Cold),
+	incarnation := r.ID + "@" + strconv.FormatInt(r.Born, 10)
+	if _, left := c.left[incarnation]; left {
+		r.State = Draining
 	}
+	t := Target{Report: r, Region: c.regions[r.DataCentre], Incarnation: incarnation, ColdUntil: now.Add(r.Cold)}
 	if !sameStart || old.State != t.State || !old.Missing.IsZero() {
 		c.log.Info("A target reports.", "Target", r.ID, "Service", r.Service, "Address", r.Address,
 			"State", r.State.String(), "ColdMs", r.Cold.Milliseconds(), "Born", r.Born)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -110,8 +110,14 @@
 	return response, nil
 }
 
-// maxForeign bounds the answers of earlier exchanges that are passed over.
-const maxForeign = 3
+// What a peer may send before and after an answer. A peer in trouble may go on for
+// ever, and each step of it on its own is within the protocol.
+const (
+	maxForeign      = 3        // answers of earlier exchanges that are passed over
+	maxForeignBytes = 64 << 10 // of the body of one of them
+	maxInterim      = 8        // answers with a status below 200
+	maxTrailerLines = 64
+)
 
 // readOwn reads headers up to the answer of the request.
 func (r *Response) readOwn(request *fasthttp.Request) error {
@@ -126,13 +132,22 @@
 			return nil
 		}
 		r.spent = true
-		if _, err := io.Copy(io.Discard, r.raw); err != nil {
+		if err := r.passOver(); err != nil {
 			return err
 		}
 	}
 	return errors.New("the answers of other requests came")
 }
 
+// passOver reads the body of an answer to an earlier request.
+func (r *Response) passOver() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.raw, maxForeignBytes))
+	if err == nil && n == maxForeignBytes {
+		return errors.New("the answer of another request is too long")
+	}
+	return err
+}
+
 func (p *Pool) belongs(request *fasthttp.Request, answer *fasthttp.ResponseHeader) bool {
 	if p.echo == "" {
 		return true
@@ -232,16 +247,16 @@
 )
 
 func (r *Response) readHeader(head bool) error {
-	for {
+	for range maxInterim {
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
 		}
 		if r.Header.StatusCode() >= fasthttp.StatusOK {
-			break
+			r.raw = r.bodyReader(head)
+			return nil
 		}
 	}
-	r.raw = r.bodyReader(head)
-	return nil
+	return errors.New("interim answers without end")
 }
 
 func (r *Response) bodyReader(head bool) io.Reader {
@@ -303,7 +318,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	for {
+	for range maxTrailerLines {
 		line, lineErr := c.from.ReadSlice('\n')
 		if lineErr != nil {
 			return n, io.ErrUnexpectedEOF
@@ -312,6 +327,7 @@
 			return n, io.EOF
 		}
 	}
+	return n, errors.New("a trailer without end")
 }
 
 // untilClose reads a body without length. Unless whole is set, its end cannot be
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -24,6 +24,10 @@
 
 	deathKeyPrefix  = "death/"
 	deathTTLSeconds = 600
+	// Targets that leave serve for some seconds more; leavingTTLSeconds leaves time for
+	// hosts that are cut off meanwhile.
+	leavingKeyPrefix  = "leaving/"
+	leavingTTLSeconds = 120
 )
 
 // budget returns the budget for repeats of a service. The caller holds the lock.
@@ -54,10 +58,22 @@
 }
 
 // learnHead takes what the head of an answer says of its target.
-func (g *Gateway) learnHead(id string, answer Answer) {
+func (g *Gateway) learnHead(t catalogue.Target, answer Answer) {
+	id := t.ID
+	for _, field := range answer.Unreadable {
+		g.log.Info("A target says what means nothing; the last belief stays.", "Target", id, "Field", field)
+	}
+	if answer.Leaving {
+		g.learnLeaving(t.Incarnation, true)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	if answer.LeaveAlone > 0 {
+		g.log.Info("A target wants nothing for a while.", "Target", id, "AskedMs", answer.LeaveAlone.Milliseconds(),
+			"TakenMs", min(answer.LeaveAlone, balance.MaxSpare).Milliseconds())
+		g.book.Spare(now, id, answer.LeaveAlone)
+	}
 	if answer.Load != nil {
 		g.book.Observe(now, id, *answer.Load)
 	}
@@ -73,6 +89,21 @@
 	return g.book.Faulty(g.clock.Now(), id)
 }
 
+// learnLeaving takes the word of a target's process that it leaves, and tells the
+// fleet of what this host has learned itself.
+func (g *Gateway) learnLeaving(incarnation string, own bool) {
+	if !g.catalogue.Leaves(incarnation) {
+		return
+	}
+	g.log.Info("A target says that it leaves.", "Target", incarnation, "Own", own)
+	if !own {
+		return
+	}
+	g.gossip.PostNow(bulletin.Item{
+		Key: leavingKeyPrefix + incarnation, Stamp: 1, Scope: bulletin.Fleet, TTLSeconds: leavingTTLSeconds, Value: json.RawMessage("true"),
+	})
+}
+
 // leaves takes a target out of use whose address belongs to another one now.
 func (g *Gateway) leaves(id string) {
 	g.log.Info("Another target has the address.", "Target", id)
@@ -173,6 +204,10 @@
 
 // onItem takes a fact that other hosts spread.
 func (g *Gateway) onItem(item bulletin.Item) {
+	if incarnation, ok := strings.CutPrefix(item.Key, leavingKeyPrefix); ok {
+		g.learnLeaving(incarnation, false)
+		return
+	}
 	if !strings.HasPrefix(item.Key, deathKeyPrefix) {
 		return
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,7 +37,9 @@
 	refused int           // sends that were refused without running
 	tried   []string
 	away    []string // regions that were asked
-	notes   []string // what was decided and what came of it, for the log
+	// opens is when a region that was asked wants the call again, 0 if none has said.
+	opens time.Duration
+	notes []string // what was decided and what came of it, for the log
 	// firstByte is when the answer began, and longestPause the longest wait for one
 	// of its events, for the log.
 	firstByte    time.Time
@@ -188,6 +190,12 @@
 	if !f.received {
 		q.Away = f.g.regions.Options(now, regions, f.work, !q.Here)
 	}
+	if !q.Here {
+		q.Opens = f.opens
+		if opens, ok := f.g.book.Opens(now, f.service); ok && (q.Opens == 0 || opens < q.Opens) {
+			q.Opens = opens
+		}
+	}
 	if q.Here && len(q.Away) > 0 {
 		home, others := f.g.book.Basin(now, f.service), f.g.regions.Basins(now, q.Away, f.service)
 		q.Spill = balance.Spill(home, others)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -99,6 +99,7 @@
 		t.end(balance.Abandoned)
 		f.note("host %s: %s, %s", host.Host, outcome, reason)
 		if outcome == core.NotRun {
+			f.opensIn(response.Get(fasthttp.HeaderRetryAfter))
 			f.g.refusedBy(region, f.service)
 			return nil, result{outcome: outcome, reason: reason}
 		}
@@ -116,6 +117,18 @@
 	return t.settle(s, min(response.Status(), fasthttp.StatusOK))
 }
 
+// opensIn takes when another region wants the call again, in seconds.
+func (f *flight) opensIn(text string) {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || seconds <= 0 {
+		return
+	}
+	d := time.Duration(min(seconds, balance.MaxSpare.Seconds()) * float64(time.Second))
+	if f.opens == 0 || d < f.opens {
+		f.opens = d
+	}
+}
+
 func atoi(text string) int {
 	n, err := strconv.Atoi(text)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 
 	pool      *exchange.Pool // to targets
 	peers     *exchange.Pool // to hosts, for calls
+	bodies    *exchange.Memory
 	controls  *exchange.Pool // to hosts, for control
 	stores    *exchange.Pool
 	catalogue *catalogue.Catalogue
@@ -164,6 +165,7 @@
 	g.peers = exchange.NewPool(g.network)
 	g.controls = exchange.NewPool(g.network)
 	g.stores = exchange.NewPool(g.network)
+	g.bodies = exchange.NewMemory(maxHeldBytes)
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
 		catalogue.WithClock(g.clock), catalogue.WithLogger(g.log.WithName("catalogue")), catalogue.WithChanged(g.configure))
 	g.follower = catalogue.NewFollower(g.catalogue, adapters.Reader(g.stores, s.StoreAddress), g.askCatalogue, circle{g}, g.clock, g.log.WithName("catalogue"))
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
@@ -152,7 +154,11 @@
 	}
 	f.g.closeWhenLeaving(ctx)
 	if s.stream == nil {
-		ctx.Response.SetBodyRaw(s.body)
+		if !s.body.Counted() {
+			ctx.Response.SetBodyRaw(s.body.Bytes)
+		} else {
+			ctx.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(s.body.Bytes), body: s.body}, len(s.body.Bytes))
+		}
 		f.logEnd(r.status, core.Run, r.reason)
 		end()
 		return
@@ -160,6 +166,18 @@
 	ctx.Response.SetBodyStream(&relay{f: f, s: s, pending: s.first, ended: s.ended, finish: end, status: r.status}, -1)
 }
 
+// heldBody gives back the memory of a body once it is written.
+type heldBody struct {
+	*bytes.Reader
+	body exchange.Body
+}
+
+// Close releases the body.
+func (h *heldBody) Close() error {
+	h.body.Release()
+	return nil
+}
+
 // relay gives a stream to the server event by event, and goes on at another
 // target where the route allows it.
 type relay struct {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -50,6 +50,13 @@
 	Load *balance.Load
 	// Cold is how much longer the target is cold.
 	Cold time.Duration
+	// Leaving is set when the target says that it leaves.
+	Leaving bool
+	// LeaveAlone is for how long the target wants nothing from this host, 0 when it
+	// has not said.
+	LeaveAlone time.Duration
+	// Unreadable are the fields that mean nothing.
+	Unreadable []string
 }
 
 // Question is what a caller asks the directory.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxBodyBytes bounds an answer that is no stream.
+	// maxBodyBytes bounds an answer that is no stream, and maxHeldBytes what long
+	// answers hold together: a part of the memory of the smallest host.
 	maxBodyBytes = 8 << 20
+	maxHeldBytes = 24 << 20
 	// patienceFactor and patienceShare bound how long a call that may be repeated
 	// waits for the first byte of a target: a multiple of what was predicted, and a
 	// part of the time left, so that a slow answer is not given up for none.
@@ -30,11 +32,11 @@
 // source is an answer that is being read: whole, or up to its first event.
 type source struct {
 	response *exchange.Response
-	body     []byte  // of an answer that is no stream
-	stream   *events // nil unless the answer is a stream
-	first    []byte  // first event of a stream
-	ended    bool    // the stream ended before its first event
-	target   string  // or the host that relays the answer
+	body     exchange.Body // of an answer that is no stream
+	stream   *events       // nil unless the answer is a stream
+	first    []byte        // first event of a stream
+	ended    bool          // the stream ended before its first event
+	target   string        // or the host that relays the answer
 	try      *try
 }
 
@@ -245,10 +247,12 @@
 func (t *try) readAnswer(response *exchange.Response) (*source, result) {
 	f, target := t.f, t.choice.Target
 	answer := f.g.protocol.ReadAnswer(&response.Header)
-	f.g.learnHead(target.ID, answer)
 	status := response.Status()
+	if status != fasthttp.StatusMisdirectedRequest { // another target's word
+		f.g.learnHead(target, answer)
+	}
 	if answer.NotRun {
-		return nil, t.refused(response)
+		return nil, t.refused(response, answer)
 	}
 	f.sends++
 	if status < fasthttp.StatusMultipleChoices && (!answer.Sealed || response.Get(fasthttp.HeaderContentEncoding) != "") {
@@ -277,6 +281,7 @@
 	default:
 		t.end(balance.Failed)
 		if t.f.worthRepeating() && t.f.g.faulty(s.target) {
+			s.body.Release()
 			t.f.note("target %s answers %d", s.target, status)
 			return nil, result{outcome: core.Unknown, reason: "a target failed"}
 		}
@@ -285,7 +290,7 @@
 }
 
 // refused takes a target's word that it has not run the call.
-func (t *try) refused(response *exchange.Response) result {
+func (t *try) refused(response *exchange.Response, answer Answer) result {
 	status := response.Status()
 	if _, err := response.ReadAll(maxBodyBytes); err != nil {
 		t.f.note("the refusal of target %s broke off: %v", t.choice.Target.ID, err)
@@ -294,7 +299,11 @@
 	if status == fasthttp.StatusMisdirectedRequest {
 		t.f.g.leaves(t.choice.Target.ID)
 	}
-	t.end(balance.Refused)
+	if answer.LeaveAlone > 0 {
+		t.end(balance.Deferred)
+	} else {
+		t.end(balance.Refused)
+	}
 	return result{outcome: core.NotRun, reason: "a target refuses the call"}
 }
 
@@ -316,7 +325,7 @@
 // begin reads a whole body, or a stream up to its first event.
 func (s *source) begin() error {
 	if s.stream == nil {
-		body, err := s.response.ReadAll(maxBodyBytes)
+		body, err := s.response.ReadWithin(s.try.f.g.bodies, maxBodyBytes)
 		s.body = body
 		return err
 	}
