--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -403,41 +404,97 @@
 })
 
 var _ = Describe("the budget for repeats", func() {
-	It("holds for the whole fleet when no host hears another, in any window", func() {
-		const (
-			hosts  = 15
-			ratio  = 0.2
-			slack  = 116.0
-			window = 10 * time.Second
-			perS   = 20.0 // calls a second at each host
-		)
-		var budgets []*balance.RetryBudget
-		for range hosts {
-			b := balance.NewRetryBudget(ratio, slack, window)
+	const (
+		ratio  = 0.2
+		window = 10 * time.Second
+		step   = 50 * time.Millisecond
+	)
+
+	// play has hosts of a fleet spend all they may for three windows, in which each gets
+	// calls at a rate of its own, and returns the most in any window over the bound for
+	// the calls of that window, and the least over it.
+	play := func(hosts int, slack float64, perSecond func(host int) float64, restart func(host int, at time.Duration) bool) (most, least float64) {
+		source := rand.New(rand.NewPCG(uint64(hosts), uint64(slack)))
+		fresh := func() *balance.RetryBudget {
+			b := balance.NewRetryBudget(ratio, slack, window, source.Float64())
 			b.SetHosts(hosts)
-			budgets = append(budgets, b)
+			return b
 		}
-		var sent []time.Duration
-		calls := 0
-		for at := time.Duration(0); at < 3*window; at += time.Duration(float64(time.Second) / perS) {
-			for _, b := range budgets {
-				b.Call(start.Add(at))
-				calls++
+		budgets := make([]*balance.RetryBudget, hosts)
+		for i := range budgets {
+			budgets[i] = fresh()
+		}
+		steps := int(4 * window / step)
+		calls, sent := make([]int, steps), make([]int, steps)
+		for s := range steps {
+			at := time.Duration(s) * step
+			for i, b := range budgets {
+				if restart != nil && restart(i, at) {
+					b = fresh()
+					budgets[i] = b
+				}
+				if source.Float64() < perSecond(i)*step.Seconds() {
+					b.Call(start.Add(at))
+					calls[s]++
+				}
 				for b.Spend(start.Add(at)) {
-					sent = append(sent, at)
+					sent[s]++
 				}
 			}
 		}
-		for from := time.Duration(0); from <= 2*window; from += 100 * time.Millisecond {
-			n := 0
-			for _, at := range sent {
-				if at >= from && at < from+window {
-					n++
-				}
+		sum := func(list []int, from int) (n float64) {
+			for _, v := range list[from : from+int(window/step)] {
+				n += float64(v)
 			}
-			Expect(float64(n)).To(BeNumerically("<=", ratio*float64(calls)/3+slack))
+			return n
+		}
+		least = math.Inf(1)
+		for from := int(window / step); from <= steps-int(window/step); from++ {
+			share := sum(sent, from) / (ratio*sum(calls, from) + slack)
+			most, least = max(most, share), min(least, share)
 		}
-		Expect(len(sent)).To(BeNumerically(">", int(math.Round(ratio*float64(calls)/3))))
+		return most, least
+	}
+
+	It("holds for fleets of any size whose hosts do not hear one another, and gives them repeats", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := rapid.IntRange(1, 1000).Draw(t, "hosts")
+			slack := rapid.Float64Range(100, 700).Draw(t, "slack")
+			rate := rapid.Float64Range(0, 15).Draw(t, "calls a second")
+			most, least := play(hosts, slack, func(int) float64 { return rate }, nil)
+			Expect(most).To(BeNumerically("<=", 1))
+			Expect(least).To(BeNumerically(">", 0.25))
+		})
+	})
+
+	It("holds when a part of the hosts gets all calls", func() {
+		for _, hosts := range []int{15, 134, 295, 1000} {
+			most, least := play(hosts, 330, func(i int) float64 { return 15 * float64(i%3/2) }, nil)
+			Expect(most).To(BeNumerically("<=", 1))
+			Expect(least).To(BeNumerically(">", 0.25))
+		}
+	})
+
+	It("holds when hosts start again and forget what they have spent", func() {
+		for _, hosts := range []int{15, 134, 295, 1000} {
+			for _, every := range []time.Duration{window / 2, window, 2 * window} {
+				most, _ := play(hosts, 330, func(int) float64 { return 5 }, func(_ int, at time.Duration) bool { return at > 0 && at%every == 0 })
+				Expect(most).To(BeNumerically("<=", 1))
+			}
+		}
+	})
+
+	It("keeps no tokens for later", func() {
+		b := balance.NewRetryBudget(ratio, 100, window, 0)
+		b.SetHosts(1)
+		b.Call(start)
+		Expect(b.Left(start.Add(10 * window))).To(BeNumerically("<=", 100/4))
+	})
+
+	It("gives no slack before the host has heard of the others", func() {
+		b := balance.NewRetryBudget(ratio, 100, window, 0.5)
+		b.Call(start)
+		Expect(b.Spend(start.Add(window))).To(BeFalse())
 	})
 })
 
--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
-	"github.com/sequoiarack/sequoiarack/internal/rendezvous"
 )
 
 // Hosts is what the book must know of the region's hosts.
@@ -30,11 +29,13 @@
 	random  *rand.Rand
 	region  string
 	targets map[string]*target
-	hosts   Hosts
-	cold    map[string]float64 // rate of cold targets by service
-	paces   map[string]*pace
-	own     map[string]*serviceFlows
-	others  map[string]hostFlows // by host of the region
+	// services are the targets by service, in order of ID.
+	services map[string][]*target
+	hosts    Hosts
+	cold     map[string]float64 // rate of cold targets by service
+	paces    map[string]*pace
+	own      map[string]*serviceFlows
+	others   map[string]hostFlows // by host of the region
 }
 
 // hostFlows are the flows that another host told.
@@ -58,7 +59,9 @@
 		known := b.targets[id]
 		switch {
 		case known == nil:
-			b.targets[id] = newTarget(t, b.pace(t.Service))
+			known = newTarget(t, b.pace(t.Service))
+			b.targets[id] = known
+			b.pickNew(known)
 		case known.Incarnation != t.Incarnation:
 			known.restart(t)
 		default:
@@ -70,6 +73,7 @@
 			delete(b.targets, t.ID)
 		}
 	}
+	b.sortServices()
 	if s.Table == nil {
 		return
 	}
@@ -80,18 +84,35 @@
 	}
 }
 
+// sortServices lists the targets of each service.
+func (b *Book) sortServices() {
+	b.services = map[string][]*target{}
+	for _, t := range b.targets {
+		b.services[t.Service] = append(b.services[t.Service], t)
+	}
+	for _, list := range b.services {
+		slices.SortFunc(list, func(x, y *target) int { return cmp.Compare(x.ID, y.ID) })
+	}
+}
+
 // SetHosts takes what is known of the region's hosts. What hosts that are gone had
 // at targets ends with their connections.
 func (b *Book) SetHosts(h Hosts) {
+	before := b.hosts.Live
 	b.hosts = h
-	if !b.Coordinated() {
-		return // shares are believed for a short time only
+	b.pickAgain(before)
+	if !b.Coordinated() || slices.Equal(before, h.Live) {
+		return // in a small region, shares are believed for a short time only
 	}
+	live := setOf(h.Live)
 	for _, t := range b.targets {
-		maps.DeleteFunc(t.shares, func(host string, _ hostShare) bool { return !slices.Contains(h.Live, host) })
+		maps.DeleteFunc(t.shares, func(host string, _ hostShare) bool { return !live[host] })
 	}
 }
 
+// Settled reports whether the host has had time to hear of the others.
+func (b *Book) Settled() bool { return b.hosts.Settled }
+
 // usable reports whether new calls may go to the target.
 func (b *Book) usable(now time.Time, t *target) bool {
 	return !t.refuses(now) && b.inService(now, t)
@@ -112,13 +133,7 @@
 	if !b.hosts.Settled || 2*len(b.hosts.Live) <= b.hosts.Known || !t.cold.allows(now) {
 		return false
 	}
-	return first(b.hosts.Live, t.ID) == b.hosts.Self
-}
-
-// first returns the host that is picked for a key.
-func first(hosts []string, key string) string {
-	host, _ := rendezvous.First(hosts, func(name string) string { return name + "\x00" + key })
-	return host
+	return t.picked.host == b.hosts.Self
 }
 
 // Choice is the best target for a call.
@@ -264,9 +279,9 @@
 // as others are there.
 func (b *Book) serving(now time.Time, service string, exclude []string) []*target {
 	var good, ejected, excluded []*target
-	for _, t := range b.targets {
+	for _, t := range b.services[service] {
 		switch {
-		case t.Service != service || !b.usable(now, t):
+		case !b.usable(now, t):
 		case slices.Contains(exclude, t.ID):
 			excluded = append(excluded, t)
 		case t.health.out(now), t.spared(now):
@@ -282,7 +297,6 @@
 	if len(out) == 0 {
 		out = excluded
 	}
-	slices.SortFunc(out, func(x, y *target) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
 
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -19,9 +19,8 @@
 	// askedInAll is how many targets one call asks about, askedByParts of them
 	// because its shared parts hash to them, the others because they seem the best.
 	// Two choices of either sort are enough to keep queues short.
-	askedInAll    = 4
-	askedByParts  = 2
-	coordinateKey = "coordinator"
+	askedInAll   = 4
+	askedByParts = 2
 	// RepeatPause is how long after its last word on a target a host says it again
 	// to the coordinator, which may have started since.
 	RepeatPause = 2 * time.Second
@@ -54,7 +53,7 @@
 
 // CoordinatorOf returns the host that coordinates a target.
 func (b *Book) CoordinatorOf(target string) string {
-	return first(b.hosts.Live, coordinateKey+target)
+	return b.pickFor(target)
 }
 
 // Candidates returns the targets to ask about before a call is sent.
@@ -111,7 +110,7 @@
 func (b *Book) totals(now time.Time) map[string]TargetShare {
 	out := map[string]TargetShare{}
 	for id, t := range b.targets {
-		if b.CoordinatorOf(id) == b.hosts.Self {
+		if t.picked.host == b.hosts.Self {
 			out[id] = t.all(now)
 		}
 	}
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -61,8 +61,8 @@
 // Basin returns the region's demand and capacity for a service.
 func (b *Book) Basin(now time.Time, service string) Basin {
 	out := Basin{Region: b.region, Demand: b.regionFlows(now, service).Demand()}
-	for _, t := range b.targets {
-		if t.Service == service && b.usable(now, t) && !t.health.out(now) {
+	for _, t := range b.services[service] {
+		if b.usable(now, t) && !t.health.out(now) {
 			out.Capacity += t.capacity()
 			out.Targets++
 		}
--- a/internal/balance/spare.go
+++ b/internal/balance/spare.go
@@ -19,8 +19,8 @@
 // wants nothing now, and false when there is none.
 func (b *Book) Opens(now time.Time, service string) (time.Duration, bool) {
 	soonest, ok := time.Duration(0), false
-	for _, t := range b.targets {
-		if t.Service != service || !b.inService(now, t) || !t.refuses(now) {
+	for _, t := range b.services[service] {
+		if !b.inService(now, t) || !t.refuses(now) {
 			continue
 		}
 		if d := t.refusesUntil.Sub(now); !ok || d < soonest {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 )
 
@@ -34,6 +36,8 @@
 	// sparedUntil until when it wants nothing from some other one.
 	refusesUntil time.Time
 	sparedUntil  time.Time
+	hash         uint64 // of the ID
+	picked       pick
 	// saidAt is when the host last told the coordinator what it has at the target.
 	saidAt time.Time
 }
@@ -77,7 +81,7 @@
 
 func newTarget(t catalogue.Target, p *pace) *target {
 	return &target{
-		Target: t, pace: p, factor: 1, span: initialSpan, flying: map[*Flight]struct{}{},
+		Target: t, hash: xxhash.Sum64String(t.ID), pace: p, factor: 1, span: initialSpan, flying: map[*Flight]struct{}{},
 		shares: map[string]hostShare{}, parts: map[partKey]time.Time{},
 	}
 }
