--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -1,12 +1,12 @@
 package balance_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -66,10 +66,10 @@
 	flight := one.Begin(now, id, w)
 	c, ok := one.ChangeAt(now, id, w)
 	ExpectWithOffset(1, ok).To(BeTrue())
-	data, err := json.Marshal(c)
+	data, err := cbor.Marshal(c)
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
 	var told balance.Change
-	ExpectWithOffset(1, json.Unmarshal(data, &told)).To(Succeed())
+	ExpectWithOffset(1, cbor.Unmarshal(data, &told)).To(Succeed())
 	other.TakeChange(now, "h1", told)
 	return flight
 }
@@ -145,10 +145,10 @@
 		one.First(start, one.Begin(start, "t01", prompt(100)))
 		one.Event(start, f, 70*time.Millisecond)
 		told := one.Share(start)
-		data, err := json.Marshal(told)
+		data, err := cbor.Marshal(told)
 		Expect(err).NotTo(HaveOccurred())
 		var s balance.Share
-		Expect(json.Unmarshal(data, &s)).To(Succeed())
+		Expect(cbor.Unmarshal(data, &s)).To(Succeed())
 		Expect(s.Targets).To(Equal(told.Targets))
 		Expect(s.Flows).To(Equal(told.Flows))
 		other.Merge(start, "h2", s)
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Hosts that do not know of one another's calls send them to the same targets. In a
@@ -33,13 +34,13 @@
 	Unread int
 }
 
-// MarshalJSON writes the figures as a list, as one is sent for each target asked.
-func (l TargetLoad) MarshalJSON() ([]byte, error) {
-	return json.Marshal(append(l.ints(), l.Unread))
+// MarshalCBOR writes the figures as a list, as one is sent for each target asked.
+func (l TargetLoad) MarshalCBOR() ([]byte, error) {
+	return cbor.Marshal(append(l.ints(), l.Unread))
 }
 
-// UnmarshalJSON reads the list of figures.
-func (l *TargetLoad) UnmarshalJSON(data []byte) error {
+// UnmarshalCBOR reads the list of figures.
+func (l *TargetLoad) UnmarshalCBOR(data []byte) error {
 	list, err := unmarshalInts(data, shareFigures+1)
 	if err != nil {
 		return err
@@ -119,10 +120,10 @@
 
 // Change is what one host has at a target, for the hosts that are told of it.
 type Change struct {
-	Target string      `json:"Target"`
-	Has    TargetShare `json:"Has"`
+	Target string      `cbor:"1,keyasint"`
+	Has    TargetShare `cbor:"2,keyasint"`
 	// Parts are the parts of the prompt of a call that begins.
-	Parts []partKey `json:"Parts,omitempty"`
+	Parts []partKey `cbor:"3,keyasint,omitempty"`
 }
 
 // ChangeAt returns what the host has at a target, after a call with the given work
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -72,18 +72,18 @@
 
 // ServiceState is what a region can do for a service.
 type ServiceState struct {
-	Targets int `json:"Targets"`
+	Targets int `cbor:"1,keyasint"`
 	// WaitMs are the waits for calls of rank 0 and of the others.
-	WaitMs [2]int `json:"WaitMs"`
+	WaitMs [2]int `cbor:"2,keyasint"`
 	// Rate is the prompt tokens that all targets read in a millisecond.
-	Rate int `json:"Rate"`
+	Rate int `cbor:"3,keyasint"`
 	// SpanMs is the time of a call without a prompt.
-	SpanMs int `json:"SpanMs"`
+	SpanMs int `cbor:"4,keyasint"`
 	// PauseMs is the mean pause between the events of streams.
-	PauseMs int `json:"PauseMs"`
+	PauseMs int `cbor:"5,keyasint"`
 	// Demand and Capacity are in units of work a second.
-	Demand   int `json:"Demand"`
-	Capacity int `json:"Capacity"`
+	Demand   int `cbor:"6,keyasint"`
+	Capacity int `cbor:"7,keyasint"`
 }
 
 // States returns what the region can do for each service.
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
 
@@ -24,11 +24,11 @@
 	SpareMs int
 }
 
-// MarshalJSON writes the figures as a list, as shares go out several times a second.
-func (s TargetShare) MarshalJSON() ([]byte, error) { return json.Marshal(s.ints()) }
+// MarshalCBOR writes the figures as a list, as shares go out several times a second.
+func (s TargetShare) MarshalCBOR() ([]byte, error) { return cbor.Marshal(s.ints()) }
 
-// UnmarshalJSON reads the list of figures.
-func (s *TargetShare) UnmarshalJSON(data []byte) error {
+// UnmarshalCBOR reads the list of figures.
+func (s *TargetShare) UnmarshalCBOR(data []byte) error {
 	list, err := unmarshalInts(data, shareFigures)
 	if err != nil {
 		return err
@@ -51,7 +51,7 @@
 // unmarshalInts reads a list of n figures, none of them negative.
 func unmarshalInts(data []byte, n int) ([]int, error) {
 	var list []int
-	if err := json.Unmarshal(data, &list); err != nil {
+	if err := cbor.Unmarshal(data, &list); err != nil {
 		return nil, err
 	}
 	if len(list) != n || slices.Min(list) < 0 {
@@ -77,12 +77,12 @@
 type Share struct {
 	// Targets is what the host has at each target, which makes up for changes that
 	// were lost. It is nil where targets have coordinators.
-	Targets map[string]TargetShare `json:"Targets"`
+	Targets map[string]TargetShare `cbor:"1,keyasint"`
 	// Totals is what all hosts have at the targets that the host coordinates.
-	Totals map[string]TargetShare `json:"Totals,omitempty"`
-	Flows  map[string]Flows       `json:"Flows,omitempty"`
+	Totals map[string]TargetShare `cbor:"2,keyasint,omitempty"`
+	Flows  map[string]Flows       `cbor:"3,keyasint,omitempty"`
 	// Paces are the prompt tokens that targets read in a millisecond, by service.
-	Paces map[string]float64 `json:"Paces,omitempty"`
+	Paces map[string]float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Share returns what the host tells the others of its region now and then, beside
--- a/internal/balance/spill.go
+++ b/internal/balance/spill.go
@@ -16,11 +16,11 @@
 // in units of work a second.
 type Flows struct {
 	// Begun is what targets of the region were given.
-	Begun float64 `json:"G"`
+	Begun float64 `cbor:"1,keyasint"`
 	// Spilled is what was sent away for want of capacity.
-	Spilled float64 `json:"S"`
+	Spilled float64 `cbor:"2,keyasint"`
 	// Received is what other regions sent here for want of capacity.
-	Received float64 `json:"R"`
+	Received float64 `cbor:"3,keyasint"`
 }
 
 // Demand is the work that the region's own callers bring.
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -8,8 +8,8 @@
 
 // Part is a piece of a prompt that targets keep in memory.
 type Part struct {
-	ID     uint64
-	Tokens int
+	ID     uint64 `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
 }
 
 // Work is what a call asks of a target.
--- a/internal/bulletin/board.go
+++ b/internal/bulletin/board.go
@@ -21,13 +21,13 @@
 
 // Item is a fact.
 type Item struct {
-	Key   string          `json:"Key"`
-	Stamp int64           `json:"Stamp"`
-	Scope Scope           `json:"Scope"`
-	Value json.RawMessage `json:"Value"`
+	Key   string          `json:"Key"   cbor:"1,keyasint"`
+	Stamp int64           `json:"Stamp" cbor:"2,keyasint"`
+	Scope Scope           `json:"Scope" cbor:"3,keyasint"`
+	Value json.RawMessage `json:"Value" cbor:"4,keyasint"`
 	// TTLSeconds bounds the life of the fact at each host after it arrived;
 	// zero keeps it.
-	TTLSeconds int `json:"TTLSeconds,omitempty"`
+	TTLSeconds int `json:"TTLSeconds,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 type slot struct {
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -111,6 +111,10 @@
 func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(events) == 0 {
+		c.advance(revision)
+		return nil
+	}
 	next := c.next(revision)
 	var news []keyvalue.Event
 	for _, e := range events {
@@ -265,6 +269,16 @@
 	}
 }
 
+// advance notes that nothing has changed up to a revision.
+func (c *Catalogue) advance(revision int64) {
+	c.returned = time.Time{}
+	if old := c.Now(); revision > old.Revision {
+		same := *old
+		same.Revision = revision
+		c.snapshot.Store(&same)
+	}
+}
+
 func (c *Catalogue) publish(s *Snapshot) {
 	c.returned = time.Time{}
 	c.snapshot.Store(s)
--- a/internal/gateway/confer.go
+++ b/internal/gateway/confer.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -14,18 +13,18 @@
 
 // question asks the coordinator of targets what they would be like for a call.
 type question struct {
-	Number  uint64         `json:"Number"`
-	Service string         `json:"Service"`
-	Rank    int            `json:"Rank"`
-	Tokens  int            `json:"Tokens"`
-	Parts   []balance.Part `json:"Parts,omitempty"`
-	Targets []string       `json:"Targets"`
+	Number  uint64         `cbor:"1,keyasint"`
+	Service string         `cbor:"2,keyasint"`
+	Rank    int            `cbor:"3,keyasint"`
+	Tokens  int            `cbor:"4,keyasint"`
+	Parts   []balance.Part `cbor:"5,keyasint,omitempty"`
+	Targets []string       `cbor:"6,keyasint"`
 }
 
 // word is the answer to a question.
 type word struct {
-	Number uint64                        `json:"Number"`
-	Loads  map[string]balance.TargetLoad `json:"Loads"`
+	Number uint64                        `cbor:"1,keyasint"`
+	Loads  map[string]balance.TargetLoad `cbor:"2,keyasint"`
 }
 
 // confer asks the coordinators of some targets before the call is sent to one. It
@@ -157,5 +156,12 @@
 
 // infos returns what is known of hosts.
 func (g *Gateway) infos(hosts []string) []member.Info {
-	return g.gossip.View().Where(func(m member.Info) bool { return slices.Contains(hosts, m.Host) })
+	view := g.gossip.View()
+	out := make([]member.Info, 0, len(hosts))
+	for _, host := range hosts {
+		if info, ok := view.Find(host); ok {
+			out = append(out, info)
+		}
+	}
+	return out
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,16 +107,20 @@
 	typicals map[string]time.Duration // own time of calls by route
 	lost     map[string]time.Time     // hosts that are not asked before
 	heard    map[string]hearing       // the last share of each host
-	source   *rand.Rand
+	// regionsHeard is when there was last word from each other region.
+	regionsHeard map[string]time.Time
+	source       *rand.Rand
 
 	asked   uint64 // questions to coordinators so far
 	askings map[uint64]asking
 
-	leaving  atomic.Bool
-	counter  atomic.Uint64 // of datagrams
-	turn     int           // of words to other regions, owned by the share duty
-	inFlight atomic.Int64
-	stop     context.CancelFunc
+	addresses sync.Map // *net.UDPAddr of shares by peer address
+	reader    atomic.Pointer[readers]
+	leaving   atomic.Bool
+	counter   atomic.Uint64 // of datagrams
+	turn      int           // of words to other regions, owned by the share duty
+	inFlight  atomic.Int64
+	stop      context.CancelFunc
 }
 
 // served is a server with its listener.
@@ -154,7 +158,7 @@
 		book: balance.NewBook(s.Region, rand.Uint64()), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicals: map[string]time.Duration{},
 		register: quarantine.NewRegister(quarantine.WithDeaths(deathsToQuarantine)),
-		lost:     map[string]time.Time{}, heard: map[string]hearing{}, askings: map[uint64]asking{},
+		lost:     map[string]time.Time{}, heard: map[string]hearing{}, regionsHeard: map[string]time.Time{}, askings: map[uint64]asking{},
 		source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -46,9 +46,9 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	var out []string
-	for _, h := range g.heard {
-		if h.region != g.settings.Region && now.Sub(h.at) < silenceAfter && !slices.Contains(out, h.region) {
-			out = append(out, h.region)
+	for region, at := range g.regionsHeard {
+		if now.Sub(at) < silenceAfter {
+			out = append(out, region)
 		}
 	}
 	return out
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -43,12 +43,28 @@
 	}
 }
 
+// readers are the hosts that read the store, by data centre, in one version of the
+// view.
+type readers struct {
+	version uint64
+	hosts   map[string]string
+}
+
 // readerOf returns the host that reads the store for a data centre, as far as this
 // one knows.
 func (g *Gateway) readerOf(dataCentre string) string {
-	hosts := g.gossip.View().Where(func(m member.Info) bool { return m.DataCentre == dataCentre && m.InUse() })
-	reader, _ := rendezvous.First(hosts, func(m member.Info) string { return m.Host + readerKey })
-	return reader.Host
+	view := g.gossip.View()
+	known := g.reader.Load()
+	if known == nil || known.version != view.Version {
+		known = &readers{version: view.Version, hosts: map[string]string{}}
+		for name := range g.settings.DataCentres {
+			hosts := view.Where(func(m member.Info) bool { return m.DataCentre == name && m.InUse() })
+			reader, _ := rendezvous.First(hosts, func(m member.Info) string { return m.Host + readerKey })
+			known.hosts[name] = reader.Host
+		}
+		g.reader.Store(known)
+	}
+	return known.hosts[dataCentre]
 }
 
 // tellNews is the duty that tells other hosts what the store says: those of the
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,12 +1,11 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -25,20 +24,20 @@
 	shareBufferSize = 64 << 10
 )
 
-// shareMessage is a datagram between hosts: its JSON form, a line feed, its seal.
+// shareMessage is a datagram between hosts, in CBOR and sealed.
 type shareMessage struct {
-	Host        string `json:"Host"`
-	Region      string `json:"Region"`
-	Incarnation int64  `json:"Incarnation"`
-	Counter     uint64 `json:"Counter"`
+	Host        string `cbor:"1,keyasint"`
+	Region      string `cbor:"2,keyasint"`
+	Incarnation int64  `cbor:"3,keyasint"`
+	Counter     uint64 `cbor:"4,keyasint"`
 	// Share is for hosts of the region, Services for those of others.
-	Share    *balance.Share                  `json:"Share,omitempty"`
-	Services map[string]balance.ServiceState `json:"Services,omitempty"`
+	Share    *balance.Share                  `cbor:"5,keyasint,omitempty"`
+	Services map[string]balance.ServiceState `cbor:"6,keyasint,omitempty"`
 	// Changes are what the host has now at targets where that has changed.
-	Changes []balance.Change `json:"Changes,omitempty"`
+	Changes []balance.Change `cbor:"7,keyasint,omitempty"`
 	// Question and Word are between a host and the coordinator of targets.
-	Question *question `json:"Question,omitempty"`
-	Word     *word     `json:"Word,omitempty"`
+	Question *question `cbor:"8,keyasint,omitempty"`
+	Word     *word     `cbor:"9,keyasint,omitempty"`
 }
 
 // sendShares is the duty that tells other hosts of the load.
@@ -112,23 +111,39 @@
 // sendShare sends a datagram to hosts.
 func (g *Gateway) sendShare(m shareMessage, to []member.Info) {
 	m.Host, m.Region, m.Incarnation, m.Counter = g.settings.Host, g.settings.Region, g.started.UnixMilli(), g.counter.Add(1)
-	body, err := json.Marshal(m)
+	body, err := cbor.Marshal(m)
 	if err != nil {
 		g.log.Error(err, "A share could not be written.")
 		return
 	}
-	data := append(append(body, '\n'), g.sealer.Seal(body)...)
+	data := g.sealer.Wrap(body)
 	for _, info := range to {
-		ip, _, err := net.SplitHostPort(info.PeerAddress)
-		if err != nil {
+		address := g.shareAddress(info)
+		if address == nil {
 			continue
 		}
-		address := &net.UDPAddr{IP: net.ParseIP(ip), Port: g.settings.SharePort}
 		g.metrics.add("share_bytes_sent_total", int64(len(data)))
 		_, _ = g.shares.WriteTo(data, address) // the next one makes up for a lost one
 	}
 }
 
+// shareAddress returns where a host receives what others tell, nil when it has said
+// nothing that is an address.
+func (g *Gateway) shareAddress(info member.Info) *net.UDPAddr {
+	if known, ok := g.addresses.Load(info.PeerAddress); ok {
+		address, _ := known.(*net.UDPAddr)
+		return address
+	}
+	host, _, _ := net.SplitHostPort(info.PeerAddress) // an empty host has no IP
+	ip := net.ParseIP(host)
+	if ip == nil {
+		return nil
+	}
+	address := &net.UDPAddr{IP: ip, Port: g.settings.SharePort}
+	g.addresses.Store(info.PeerAddress, address)
+	return address
+}
+
 // receiveShares is the duty that reads what other hosts tell.
 func (g *Gateway) receiveShares(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = g.shares.Close() })
@@ -147,13 +162,13 @@
 }
 
 func (g *Gateway) takeShare(data []byte) {
-	at := bytes.LastIndexByte(data, '\n')
-	if at < 0 || !g.sealer.Check(string(data[at+1:]), data[:at]) {
+	body, ok := g.sealer.Unwrap(data)
+	if !ok {
 		g.metrics.add("shares_wrong_total", 1)
 		return
 	}
 	var m shareMessage
-	if err := json.Unmarshal(data[:at], &m); err != nil {
+	if err := cbor.Unmarshal(body, &m); err != nil {
 		g.metrics.add("shares_wrong_total", 1)
 		return
 	}
@@ -175,6 +190,9 @@
 	if known, ok := g.heard[m.Host]; ok && known.incarnation == m.Incarnation && known.counter >= m.Counter {
 		return
 	}
+	if m.Region != g.settings.Region {
+		g.regionsHeard[m.Region] = now
+	}
 	g.heard[m.Host] = hearing{region: m.Region, incarnation: m.Incarnation, counter: m.Counter, at: now}
 	if m.Region != g.settings.Region {
 		g.regions.Take(now, m.Region, m.Services)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -1,9 +1,7 @@
 package gossip
 
 import (
-	"bytes"
-	"encoding/json"
-
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
@@ -17,36 +15,35 @@
 	kindNews      messageKind = "News"
 )
 
-// message is a datagram between hosts: its JSON form, a line feed, its seal.
+// message is a datagram between hosts, in CBOR and sealed.
 type message struct {
-	Kind        messageKind `json:"Kind"`
-	From        string      `json:"From"`
-	DataCentre  string      `json:"DataCentre"`
-	Incarnation int64       `json:"Incarnation"`
-	Beat        uint64      `json:"Beat"`
+	Kind        messageKind `cbor:"1,keyasint"`
+	From        string      `cbor:"2,keyasint"`
+	DataCentre  string      `cbor:"3,keyasint"`
+	Incarnation int64       `cbor:"4,keyasint"`
+	Beat        uint64      `cbor:"5,keyasint"`
 	// Digest stands for all that the sender knows of hosts.
-	Digest uint64          `json:"Digest,string,omitempty"`
-	Items  []bulletin.Item `json:"Items,omitempty"`
+	Digest uint64          `cbor:"6,keyasint,omitempty"`
+	Items  []bulletin.Item `cbor:"7,keyasint,omitempty"`
 }
 
 const maxMessageBytes = 1400
 
 func encode(m message, sealer *seal.Sealer) ([]byte, error) {
-	body, err := json.Marshal(m)
+	body, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "gossip: encode")
 	}
-	sum := sealer.Seal(body)
-	return append(append(body, '\n'), sum...), nil
+	return sealer.Wrap(body), nil
 }
 
 func decode(data []byte, sealer *seal.Sealer) (message, error) {
-	at := bytes.LastIndexByte(data, '\n')
-	if at < 0 || !sealer.Check(string(data[at+1:]), data[:at]) {
+	body, ok := sealer.Unwrap(data)
+	if !ok {
 		return message{}, errors.New("gossip: wrong seal")
 	}
 	var m message
-	if err := json.Unmarshal(data[:at], &m); err != nil {
+	if err := cbor.Unmarshal(body, &m); err != nil {
 		return message{}, errors.Wrap(err, "gossip: decode")
 	}
 	return m, nil
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +43,8 @@
 
 // View is what the rest of the process sees of the fleet. It is immutable.
 type View struct {
+	// Version is another one after each change of the hosts.
+	Version    uint64
 	Self       member.Info
 	Members    []member.Info
 	Delegate   bool
@@ -58,6 +62,15 @@
 	return out
 }
 
+// Find returns what the view knows of a host.
+func (v *View) Find(host string) (member.Info, bool) {
+	at, ok := slices.BinarySearchFunc(v.Members, host, func(m member.Info, host string) int { return cmp.Compare(m.Host, host) })
+	if !ok {
+		return member.Info{}, false
+	}
+	return v.Members[at], true
+}
+
 // Counts tells how much the protocol has sent and received.
 type Counts struct {
 	SentMessages     atomic.Int64
@@ -93,6 +106,7 @@
 	lastCentre time.Time
 	lastRead   time.Time
 	published  time.Time
+	forgotten  uint64               // version of the table at the last forget
 	differing  map[string]time.Time // since when a host's digest is another one
 }
 
@@ -330,6 +344,10 @@
 
 // forget drops the facts of hosts that the table has forgotten.
 func (s *Service) forget() {
+	if s.forgotten == s.table.Version() {
+		return
+	}
+	s.forgotten = s.table.Version()
 	known := map[string]bool{}
 	for _, info := range s.table.All() {
 		known[member.KeyPrefix+info.Host] = true
@@ -546,7 +564,7 @@
 	now := s.clock.Now()
 	s.published = now
 	view := &View{
-		Self: s.table.Self(), Members: s.table.All(),
+		Version: s.table.Version(), Self: s.table.Self(), Members: s.table.All(),
 		Delegate: s.table.IsDelegate(), CutCentres: map[string]bool{},
 	}
 	for _, info := range view.Members {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -30,6 +30,7 @@
 
 type record struct {
 	info      Info
+	hash      uint64 // of the name
 	heard     time.Time
 	changed   time.Time
 	monitored bool
@@ -42,6 +43,7 @@
 	hosts   map[string]*record
 	centres map[string]time.Time // last word of each other data centre
 	derived *derived             // nil after a change
+	version uint64               // of the set of hosts
 }
 
 // derived is what follows from the set of hosts.
@@ -49,12 +51,13 @@
 	ring      []string
 	delegates map[string][]Info // by data centre
 	digest    uint64
+	all       []Info // in order of name, nil until it is asked for
 }
 
 // NewTable returns a Table that knows the host itself.
 func NewTable(now time.Time, self Info) *Table {
 	t := &Table{self: self, hosts: map[string]*record{}, centres: map[string]time.Time{}}
-	t.hosts[self.Host] = &record{info: self, heard: now, changed: now}
+	t.hosts[self.Host] = &record{info: self, hash: xxhash.Sum64String(self.Host), heard: now, changed: now}
 	return t
 }
 
@@ -67,10 +70,19 @@
 	return t.self.Item()
 }
 
+// changed notes a change of the set of hosts.
+func (t *Table) changed() {
+	t.derived = nil
+	t.version++
+}
+
+// Version is another one after each change of what is known of hosts.
+func (t *Table) Version() uint64 { return t.version }
+
 func (t *Table) setSelf(now time.Time, info Info) {
 	t.self = info
-	t.hosts[info.Host] = &record{info: info, heard: now, changed: now}
-	t.derived = nil
+	t.hosts[info.Host] = &record{info: info, hash: xxhash.Sum64String(info.Host), heard: now, changed: now}
+	t.changed()
 }
 
 // Apply takes what is said of a host. The second result is an answer to spread
@@ -84,14 +96,14 @@
 		return false, nil
 	}
 	if !ok {
-		known = &record{heard: now}
+		known = &record{heard: now, hash: xxhash.Sum64String(info.Host)}
 		t.hosts[info.Host] = known
 	}
 	if info.Status == Alive {
 		known.heard = now
 	}
 	known.info, known.changed = info, now
-	t.derived = nil
+	t.changed()
 	return true, nil
 }
 
@@ -132,7 +144,7 @@
 			out = append(out, t.change(now, r, Gone))
 		case r.info.Status == Gone && now.Sub(r.changed) > forgetAfter:
 			delete(t.hosts, name)
-			t.derived = nil
+			t.changed()
 		case !watched[name]:
 			r.monitored = false
 		case !r.monitored:
@@ -155,7 +167,7 @@
 
 func (t *Table) change(now time.Time, r *record, status Status) bulletin.Item {
 	r.info, r.changed = r.info.WithStatus(status), now
-	t.derived = nil
+	t.changed()
 	return r.info.Item()
 }
 
@@ -178,7 +190,7 @@
 		}
 	}
 	slices.SortFunc(d.ring, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(t.hosts[a].hash, t.hosts[b].hash), cmp.Compare(a, b))
 	})
 	t.derived = d
 	return d
@@ -272,8 +284,16 @@
 // same at hosts that know the same.
 func (t *Table) Digest() uint64 { return t.derive().digest }
 
-// All returns every known host in order of name.
+// All returns every known host in order of name. The list is not to be changed.
 func (t *Table) All() []Info {
+	d := t.derive()
+	if d.all == nil {
+		d.all = t.sorted()
+	}
+	return d.all
+}
+
+func (t *Table) sorted() []Info {
 	out := make([]Info, 0, len(t.hosts))
 	for _, r := range t.hosts {
 		out = append(out, r.info)
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -7,6 +7,8 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+	"hash"
+	"sync"
 )
 
 const sealBytes = 16
@@ -16,14 +18,14 @@
 
 // Sealer seals and checks messages.
 type Sealer struct {
-	keys [][]byte
+	keys []*sync.Pool // of hash.Hash, one pool a key
 }
 
 // New returns a Sealer with at least one key.
 func New(keys ...string) *Sealer {
 	s := &Sealer{}
 	for _, key := range keys {
-		s.keys = append(s.keys, []byte(key))
+		s.keys = append(s.keys, &sync.Pool{New: func() any { return hmac.New(sha256.New, []byte(key)) }})
 	}
 	return s
 }
@@ -47,13 +49,34 @@
 	return false
 }
 
+// Wrap returns a datagram: the body after its seal.
+func (s *Sealer) Wrap(body []byte) []byte {
+	return append(mac(s.keys[0], [][]byte{body})[:sealBytes:sealBytes], body...)
+}
+
+// Unwrap returns the body of a datagram that Wrap has made with one of the keys.
+func (s *Sealer) Unwrap(data []byte) ([]byte, bool) {
+	if len(data) < sealBytes {
+		return nil, false
+	}
+	body := data[sealBytes:]
+	for _, key := range s.keys {
+		if hmac.Equal(data[:sealBytes], mac(key, [][]byte{body})[:sealBytes]) {
+			return body, true
+		}
+	}
+	return nil, false
+}
+
 // Digest returns a keyed digest of the parts in hexadecimal digits.
 func (s *Sealer) Digest(parts ...[]byte) string {
 	return hex.EncodeToString(mac(s.keys[0], parts))
 }
 
-func mac(key []byte, parts [][]byte) []byte {
-	h := hmac.New(sha256.New, key)
+func mac(key *sync.Pool, parts [][]byte) []byte {
+	h, _ := key.Get().(hash.Hash)
+	defer key.Put(h)
+	h.Reset()
 	var length [8]byte
 	for _, part := range parts {
 		n := len(part)
