--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -32,20 +32,25 @@
 	TargetShare
 	// Unread is the tokens of the call's prompt that the target would have to read.
 	Unread int
+	// ReadingMs is how long the target has read prompts without a rest.
+	ReadingMs int
 }
 
+// loadFigures is how many figures a TargetLoad has.
+const loadFigures = shareFigures + 2
+
 // MarshalCBOR writes the figures as a list, as one is sent for each target asked.
 func (l TargetLoad) MarshalCBOR() ([]byte, error) {
-	return cbor.Marshal(append(l.ints(), l.Unread))
+	return cbor.Marshal(append(l.ints(), l.Unread, l.ReadingMs))
 }
 
 // UnmarshalCBOR reads the list of figures.
 func (l *TargetLoad) UnmarshalCBOR(data []byte) error {
-	list, err := unmarshalInts(data, shareFigures+1)
+	list, err := unmarshalInts(data, loadFigures)
 	if err != nil {
 		return err
 	}
-	*l = TargetLoad{TargetShare: shareOf(list), Unread: list[shareFigures]}
+	*l = TargetLoad{TargetShare: shareOf(list), Unread: list[shareFigures], ReadingMs: list[shareFigures+1]}
 	return nil
 }
 
@@ -94,7 +99,7 @@
 	if t == nil {
 		return TargetLoad{}, false
 	}
-	return TargetLoad{TargetShare: t.all(now), Unread: t.unread(now, w)}, true
+	return TargetLoad{TargetShare: t.all(now), Unread: t.unread(now, w), ReadingMs: int(t.spell.lasts(now).Milliseconds())}, true
 }
 
 // all is what all hosts have at the target, as its coordinator knows.
--- a/internal/balance/spell.go
+++ b/internal/balance/spell.go
@@ -6,8 +6,12 @@
 // that goes on, however short each prompt is: each token of a stream waits for a
 // piece of a prompt. So hosts know how long such a spell has lasted, and hold a
 // prompt back when it would make the spell too long, until the target has read what
-// it has; then they choose anew. Where targets have coordinators no call is held: the
-// first token would come too late for the size to design for.
+// it has; then they choose anew. Where targets have coordinators, a prompt is held only
+// for a target whose streams are seen to pause: elsewhere first tokens come sooner.
+
+// holdFrom is the part of the longest good pause that the mean pause of a target's
+// streams must reach in a large region before prompts are held for it.
+const holdFrom = 0.4
 
 // rest is how long a target has nothing to read when a spell ends: a few times what
 // word of a call takes between the hosts of a data centre, so that prompts that hosts
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -64,8 +64,8 @@
 	flights int     // of all hosts
 	backlog float64 // tokens of prompts that go before the call
 	unread  int     // tokens of its own prompt that the target has to read
-	// reading is how long the target has read prompts without a rest, for the choice
-	// of a target in a region without coordinators.
+	// reading is how long the target has read prompts without a rest, 0 where that is
+	// not to count: in a large region, at targets whose streams do not pause.
 	reading time.Duration
 }
 
@@ -76,7 +76,11 @@
 
 // viewOf returns the target as its coordinator has just told.
 func (t *target) viewOf(w Work, l TargetLoad) view {
-	return view{target: t, flights: l.Flights, backlog: float64(l.backlog(w.Rank)), unread: l.Unread}
+	v := view{target: t, flights: l.Flights, backlog: float64(l.backlog(w.Rank)), unread: l.Unread}
+	if time.Duration(l.PauseMs)*time.Millisecond > Scale(w.Gap, holdFrom) {
+		v.reading = time.Duration(l.ReadingMs) * time.Millisecond
+	}
+	return v
 }
 
 func newTarget(t catalogue.Target, p *pace) *target {
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -54,6 +54,9 @@
 type Circle interface {
 	// Reads reports whether this host is the one that reads for the others.
 	Reads() bool
+	// Joining reports whether the host may still hear from others what the store says,
+	// so that a fleet that starts as a whole reads it a few times only.
+	Joining() bool
 	// Tell tells the others. It must not block.
 	Tell(n News)
 }
@@ -93,7 +96,10 @@
 	state := following{whole: true}
 	for {
 		now := f.clock.Now()
-		if !now.Before(state.next) && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
+		if state.whole && f.catalogue.Now().Revision > 0 {
+			state.whole, state.told = false, now // another host has told all
+		}
+		if !now.Before(state.next) && !f.circle.Joining() && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
 			state = f.step(ctx, state)
 			state.next = f.clock.Now().Add(f.pause(state.failed))
 		}
@@ -225,14 +231,14 @@
 // answer.
 func (f *Follower) FollowPeers(ctx context.Context) error {
 	answered := false
-	tick := f.clock.After(peerPause)
+	tick := f.clock.After(firstPause)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case answered = <-f.answered:
 		case <-tick:
-			tick = f.clock.After(peerPause)
+			tick = f.clock.After(f.peerPause())
 			f.catalogue.Sweep()
 			if !answered {
 				f.askPeer(ctx)
@@ -241,6 +247,15 @@
 	}
 }
 
+// peerPause is the pause until other hosts are asked again: a host that knows nothing
+// serves nobody.
+func (f *Follower) peerPause() time.Duration {
+	if f.catalogue.Now().Table == nil {
+		return firstPause
+	}
+	return peerPause
+}
+
 func (f *Follower) askPeer(ctx context.Context) {
 	d, err := f.ask(ctx, f.catalogue.Now().Revision)
 	if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -108,7 +109,8 @@
 	g.writeJSON(ctx, difference)
 }
 
-// askCatalogue asks a host, as a rule of the own region, what it knows.
+// askCatalogue asks a host, as a rule of the own region, what it knows. A host that
+// knows nothing yet also asks the seeds, which read the store first.
 func (g *Gateway) askCatalogue(ctx context.Context, after int64) (catalogue.Difference, error) {
 	var near, far []member.Info
 	for _, m := range g.gossip.View().Members {
@@ -124,11 +126,16 @@
 	if len(near) == 0 || (len(far) > 0 && rand.IntN(2) == 0) {
 		choices = far
 	}
-	if len(choices) == 0 {
+	addresses := g.settings.Seeds
+	if len(choices) > 0 && (g.catalogue.Now().Table != nil || rand.IntN(2) == 0) {
+		addresses = []string{choices[rand.IntN(len(choices))].PeerAddress}
+	}
+	addresses = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == g.settings.PeerAddress })
+	if len(addresses) == 0 {
 		return catalogue.Difference{}, errors.New("no other host is known")
 	}
 	var d catalogue.Difference
-	err := g.askPeer(ctx, choices[rand.IntN(len(choices))].PeerAddress, pathPeerCatalogue+strconv.FormatInt(after, 10), nil, &d)
+	err := g.askPeer(ctx, addresses[rand.IntN(len(addresses))], pathPeerCatalogue+strconv.FormatInt(after, 10), nil, &d)
 	return d, err
 }
 
