--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -133,33 +133,38 @@
 }
 
 // Replace takes a whole read of the store at a revision: what is not in it was
-// removed. A read older than what is known is passed over.
-func (c *Catalogue) Replace(entries []keyvalue.Entry, revision int64) {
+// removed. A read older than what is known is passed over. It returns what says
+// something new.
+func (c *Catalogue) Replace(entries []keyvalue.Entry, revision int64) []keyvalue.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision < c.Now().Revision {
-		return
+		return nil
 	}
 	keys := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		keys[e.Key] = true
 	}
-	c.takeWhole(entries, keys, revision)
+	return c.takeWhole(entries, keys, revision)
 }
 
 // takeWhole takes entries at a revision, and removes what is not among the keys that
-// there are.
-func (c *Catalogue) takeWhole(entries []keyvalue.Entry, keys map[string]bool, revision int64) {
+// there are. It returns what says something new.
+func (c *Catalogue) takeWhole(entries []keyvalue.Entry, keys map[string]bool, revision int64) []keyvalue.Event {
 	next := c.next(revision)
+	var news []keyvalue.Event
 	for _, e := range entries {
-		c.put(next, e)
+		if c.put(next, e) {
+			news = append(news, keyvalue.Event{Entry: e})
+		}
 	}
 	for key := range c.entries {
-		if !keys[key] {
-			c.remove(next, key, revision)
+		if !keys[key] && c.remove(next, key, revision) {
+			news = append(news, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true})
 		}
 	}
 	c.publish(next)
+	return news
 }
 
 // Difference is what one host tells another that knows less.
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -86,6 +86,7 @@
 // following is where the duty that reads the store stands.
 type following struct {
 	whole  bool      // a whole read comes next
+	first  bool      // nothing was read yet
 	failed bool      // the last call was not answered
 	next   time.Time // not read before
 	told   time.Time // when another host last told all that is new
@@ -93,11 +94,11 @@
 
 // FollowStore is the duty that reads the store.
 func (f *Follower) FollowStore(ctx context.Context) error {
-	state := following{whole: true}
+	state := following{whole: true, first: true}
 	for {
 		now := f.clock.Now()
-		if state.whole && f.catalogue.Now().Revision > 0 {
-			state.whole, state.told = false, now // another host has told all
+		if state.first && f.catalogue.Now().Revision > 0 {
+			state.whole, state.first, state.told = false, false, now // another host has told all
 		}
 		if !now.Before(state.next) && !f.circle.Joining() && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
 			state = f.step(ctx, state)
@@ -154,6 +155,7 @@
 	f.note(err, s.failed)
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
 	compacted := err != nil && kind == keyvalue.Compacted
+	s.first = s.first && err != nil
 	s.whole, s.failed = compacted || (s.whole && err != nil), err != nil && !compacted
 	return s
 }
@@ -179,8 +181,12 @@
 	if returning {
 		f.catalogue.StoreReturned()
 	}
-	f.catalogue.Replace(page.Entries, page.Revision)
-	f.tell(News{After: page.Revision, Revision: page.Revision})
+	after := f.catalogue.Now().Revision
+	news := f.catalogue.Replace(page.Entries, page.Revision)
+	if after == 0 {
+		after, news = page.Revision, nil // whoever knows less reads for himself
+	}
+	f.tell(News{After: after, Revision: page.Revision, Events: news, Returned: returning})
 	return nil
 }
 
