--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -16,7 +16,8 @@
 	// watchPause is the pause between two waits for changes. Each wait is a
 	// priced call, and targets write all the time.
 	watchPause = 700 * time.Millisecond
-	// firstPause is the pause before the first configuration is known.
+	// firstPause is the pause before the first configuration is known, and before a
+	// whole read once the history is lost, so that those that are told do not wait.
 	firstPause = 100 * time.Millisecond
 	// failurePause is the pause after a call that failed.
 	failurePause = 300 * time.Millisecond
@@ -102,7 +103,7 @@
 		}
 		if !now.Before(state.next) && !f.circle.Joining() && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
 			state = f.step(ctx, state)
-			state.next = f.clock.Now().Add(f.pause(state.failed))
+			state.next = f.clock.Now().Add(f.pause(state))
 		}
 		select {
 		case <-ctx.Done():
@@ -160,11 +161,11 @@
 	return s
 }
 
-func (f *Follower) pause(failed bool) time.Duration {
+func (f *Follower) pause(s following) time.Duration {
 	switch {
-	case failed:
+	case s.failed:
 		return failurePause
-	case f.catalogue.Now().Table == nil:
+	case s.whole, f.catalogue.Now().Table == nil:
 		return firstPause
 	default:
 		return watchPause
