--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -110,9 +110,6 @@
 	}
 }
 
-// Settled reports whether the host has had time to hear of the others.
-func (b *Book) Settled() bool { return b.hosts.Settled }
-
 // usable reports whether new calls may go to the target.
 func (b *Book) usable(now time.Time, t *target) bool {
 	return !t.refuses(now) && b.inService(now, t)
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -6,11 +6,14 @@
 )
 
 const (
-	// retryShare is the part of the fleet's budget that the hosts use together. With
-	// the tokens that are left from the time before a window, which are those of
-	// tokenShare of it, they stay within the whole; the rest is for chance.
-	retryShare = 0.75
+	// ratioShare and slackShare are the parts of the fleet's budget that the hosts use
+	// together. With the tokens that are left from the time before a window, which are
+	// those of tokenShare of it, and those of startShare of it that a host has when it
+	// starts, they stay within the whole; the rest is for chance.
+	ratioShare = 0.75
+	slackShare = 0.65
 	tokenShare = 0.25
+	startShare = 0.1
 )
 
 // RetryBudget bounds the sends beyond the first one of each call, for one
@@ -31,22 +34,30 @@
 	at     time.Time
 }
 
-// NewRetryBudget returns the budget of a host: for the fleet, in any window, ratio
-// times the calls plus slack. Phase is a number from 0 to 1 that differs from host to
-// host. There is no slack before SetHosts.
-func NewRetryBudget(ratio, slack float64, window time.Duration, phase float64) *RetryBudget {
-	return &RetryBudget{ratio: ratio * retryShare, slack: slack * retryShare, window: window, part: phase}
+// NewRetryBudget returns the budget of a host that has run since a time: for the
+// fleet, in any window, ratio times the calls plus slack. Phase is a number from 0 to 1
+// that differs from host to host.
+func NewRetryBudget(since time.Time, ratio, slack float64, window time.Duration, phase float64) *RetryBudget {
+	return &RetryBudget{
+		ratio: ratio * ratioShare, slack: slack * slackShare, window: window, hosts: 1, part: phase,
+		at: since.Add(-time.Duration(float64(window) * startShare)),
+	}
 }
 
 // SetHosts sets how many hosts share the budget. It never shrinks, as hosts that
-// are silent may still spend.
-func (b *RetryBudget) SetHosts(n int) { b.hosts = max(b.hosts, n) }
+// are silent may still spend. A host that hears of others gives up their part of the
+// tokens it has.
+func (b *RetryBudget) SetHosts(n int) {
+	if n <= b.hosts {
+		return
+	}
+	b.tokens = b.tokens[len(b.tokens)-len(b.tokens)*b.hosts/n:]
+	b.hosts = n
+}
 
 // refill adds the host's part of the slack.
 func (b *RetryBudget) refill(now time.Time) {
-	if !b.at.IsZero() && b.hosts > 0 {
-		b.add(now, b.slack/float64(b.hosts)*float64(now.Sub(b.at))/float64(b.window))
-	}
+	b.add(now, b.slack/float64(b.hosts)*float64(now.Sub(b.at))/float64(b.window))
 	b.at = now
 	b.tokens = slices.DeleteFunc(b.tokens, func(end time.Time) bool { return !now.Before(end) })
 }
@@ -54,7 +65,7 @@
 // add adds a part of a token. What would be more than the tokens of their time is lost.
 func (b *RetryBudget) add(now time.Time, part float64) {
 	life := time.Duration(float64(b.window) * tokenShare)
-	b.part += min(part, b.slack*tokenShare)
+	b.part += min(part, max(1, b.slack/float64(b.hosts)*tokenShare))
 	for ; b.part >= 1; b.part-- {
 		b.tokens = append(b.tokens, now.Add(life))
 	}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -34,12 +34,10 @@
 func (g *Gateway) budget(service string) *balance.RetryBudget {
 	b := g.budgets[service]
 	if b == nil {
-		b = balance.NewRetryBudget(g.settings.RetryRatio, g.settings.RetrySlack, time.Duration(g.settings.RetryWindowSeconds*float64(time.Second)), g.source.Float64())
+		b = balance.NewRetryBudget(g.started, g.settings.RetryRatio, g.settings.RetrySlack, time.Duration(g.settings.RetryWindowSeconds*float64(time.Second)), g.source.Float64())
 		g.budgets[service] = b
 	}
-	if g.book.Settled() {
-		b.SetHosts(len(g.gossip.View().Members))
-	}
+	b.SetHosts(len(g.gossip.View().Members))
 	return b
 }
 
