--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -160,7 +160,7 @@
 	consider := func(v *view, p Prediction) {
 		again := fromMilliseconds(float64(p.Unread-least) / v.effectiveRate(now))
 		cost := p.Total() + v.health.cost(now) + Scale(again, rereadWeight) + Scale(stallCost, p.Stalled)
-		if least == w.Tokens {
+		if least > w.Tokens-sharedTokens(w) {
 			cost += b.firstRead(now, v.target, w, home)
 		}
 		cost = b.jitter(cost)
@@ -236,7 +236,7 @@
 }
 
 // firstRead is the cost of reading parts at a target when no target is known to
-// keep them. It leads all hosts to the same target, also hosts that have restarted
+// keep all of them: a short first part that all prompts share is kept everywhere. It leads all hosts to the same target, also hosts that have restarted
 // and do not know what targets keep. In a large region, hosts ask only about the
 // targets that parts hash to, so that long parts read elsewhere are read again.
 func (b *Book) firstRead(now time.Time, t *target, w Work, home string) time.Duration {
--- a/internal/balance/large_test.go
+++ b/internal/balance/large_test.go
@@ -32,10 +32,12 @@
 // run returns when the first byte of a call comes that arrives at now.
 func (m *modelTarget) run(now time.Time, w balance.Work) time.Time {
 	unread := w.Tokens
-	if m.parts[w.Parts[0].ID] {
-		unread -= w.Parts[0].Tokens
+	for _, p := range w.Parts[:len(w.Parts)-1] {
+		if m.parts[p.ID] {
+			unread -= p.Tokens
+		}
+		m.parts[p.ID] = true
 	}
-	m.parts[w.Parts[0].ID] = true
 	if m.free.Before(now) {
 		m.free = now
 	}
@@ -55,6 +57,9 @@
 	firsts  map[int][]time.Duration // times to the first byte, by the length of the prompt
 	reads   int                     // of long shared parts
 	lost    map[string]bool         // hosts that answer no question
+	common  bool                    // all prompts begin with the same short part
+	kinds   int                     // different shared parts of the prompts of either length
+	seen    map[uint64]bool         // long shared parts that came
 }
 
 type happening struct {
@@ -64,7 +69,7 @@
 
 func newLargeRegion(seed uint64) *largeRegion {
 	r := &largeRegion{
-		now: start, source: rand.New(rand.NewPCG(seed, seed)), books: map[string]*balance.Book{},
+		now: start, source: rand.New(rand.NewPCG(seed, seed)), kinds: sharedKinds, seen: map[uint64]bool{}, books: map[string]*balance.Book{},
 		targets: map[string]*modelTarget{}, firsts: map[int][]time.Duration{},
 	}
 	snapshot := targets(largeTargets)
@@ -157,7 +162,7 @@
 	b := r.books[name]
 	flight := b.Begin(r.now, id, w)
 	r.change(name, id, w)
-	if w.Parts[0].Tokens > 2000 && !r.targets[id].parts[w.Parts[0].ID] {
+	if p := w.Parts[len(w.Parts)-2]; p.Tokens > 2000 && !r.targets[id].parts[p.ID] {
 		r.reads++
 	}
 	first := r.targets[id].run(r.now, w)
@@ -182,8 +187,18 @@
 	}
 }
 
-// sharedKinds is how many different shared parts the prompts of either length have.
-const sharedKinds = 60
+// sharedKinds is how many different shared parts the prompts of either length have,
+// and manyKinds how many where most come a few times only.
+const (
+	sharedKinds = 60
+	manyKinds   = 600
+)
+
+// commonPart is a short part, as instructions to a model, that all prompts begin with.
+const (
+	commonPart   = 77
+	commonTokens = 512
+)
 
 // load brings calls at the given part of what the targets can read.
 func (r *largeRegion) load(part float64, d time.Duration) {
@@ -191,11 +206,16 @@
 	mean := 0.25*(long-sharedLong) + 0.75*(short-sharedShort) // tokens to read of a call
 	perSecond := part * largeTargets * modelRate * 1000 / mean
 	for t := start; t.Before(start.Add(d)); t = t.Add(time.Duration(r.source.ExpFloat64() / perSecond * float64(time.Second))) {
-		w := shared(uint64(1+r.source.IntN(sharedKinds))<<8, sharedShort, short-sharedShort)
+		w := shared(uint64(1+r.source.IntN(r.kinds))<<8, sharedShort, short-sharedShort)
 		if r.source.Float64() < 0.25 {
-			w = shared(uint64(1+r.source.IntN(sharedKinds))<<16, sharedLong, long-sharedLong)
+			w = shared(uint64(1+r.source.IntN(r.kinds))<<16, sharedLong, long-sharedLong)
+			r.seen[w.Parts[0].ID] = true
 		}
 		w.Parts[1].ID = r.source.Uint64()
+		if r.common {
+			w.Tokens += commonTokens
+			w.Parts = append([]balance.Part{{ID: commonPart, Tokens: commonTokens}}, w.Parts...)
+		}
 		r.at(t, func() { r.call(w) })
 	}
 	r.run(start.Add(d + 5*time.Second))
@@ -238,4 +258,12 @@
 		// free while that one is busy.
 		Expect(r.reads).To(BeNumerically("<=", 2*sharedKinds))
 	})
+
+	It("reads long shared parts at few of its targets also after a short part that all prompts share", func() {
+		r := newLargeRegion(3)
+		r.common, r.kinds = true, manyKinds
+		r.load(0.25, 3*span)
+		// A target that is busy for a quarter of the time makes a quarter go elsewhere.
+		Expect(float64(r.reads)).To(BeNumerically("<=", 1.25*float64(len(r.seen))))
+	})
 })
