--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -109,6 +109,21 @@
 // Apply takes changes of the store up to a revision, and returns those that say
 // something new: most are targets that write again that all is as it was.
 func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
+	return c.apply(events, revision, func(keyvalue.Event) bool { return false })
+}
+
+// ApplyRead takes changes that were read in the store. It also returns those that were
+// known already: other hosts told of them, and may not have told all.
+func (c *Catalogue) ApplyRead(events []keyvalue.Event, revision int64) []keyvalue.Event {
+	return c.apply(events, revision, c.known)
+}
+
+// known reports whether an event, or a later one of its key, was taken before.
+func (c *Catalogue) known(e keyvalue.Event) bool {
+	return c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision
+}
+
+func (c *Catalogue) apply(events []keyvalue.Event, revision int64, tell func(keyvalue.Event) bool) []keyvalue.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(events) == 0 {
@@ -118,11 +133,11 @@
 	next := c.next(revision)
 	var news []keyvalue.Event
 	for _, e := range events {
-		said := false
+		said := tell(e)
 		if e.Deleted {
-			said = c.remove(next, e.Key, e.ModRevision)
+			said = c.remove(next, e.Key, e.ModRevision) || said
 		} else {
-			said = c.put(next, e.Entry)
+			said = c.put(next, e.Entry) || said
 		}
 		if said {
 			news = append(news, e)
@@ -133,8 +148,8 @@
 }
 
 // Replace takes a whole read of the store at a revision: what is not in it was
-// removed. A read older than what is known is passed over. It returns what says
-// something new.
+// removed. A read older than what is known is passed over. It returns what has changed
+// since the revision that was known, as ApplyRead does.
 func (c *Catalogue) Replace(entries []keyvalue.Entry, revision int64) []keyvalue.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,15 +164,21 @@
 }
 
 // takeWhole takes entries at a revision, and removes what is not among the keys that
-// there are. It returns what says something new.
+// there are. It returns what has changed since the revision that was known.
 func (c *Catalogue) takeWhole(entries []keyvalue.Entry, keys map[string]bool, revision int64) []keyvalue.Event {
-	next := c.next(revision)
+	next, before := c.next(revision), c.Now().Revision
 	var news []keyvalue.Event
 	for _, e := range entries {
-		if c.put(next, e) {
+		early := e.ModRevision > before && c.known(keyvalue.Event{Entry: e})
+		if c.put(next, e) || early {
 			news = append(news, keyvalue.Event{Entry: e})
 		}
 	}
+	for key, at := range c.removed {
+		if at > before && !keys[key] {
+			news = append(news, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: at}, Deleted: true})
+		}
+	}
 	for key := range c.entries {
 		if !keys[key] && c.remove(next, key, revision) {
 			news = append(news, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true})
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -1,6 +1,7 @@
 package catalogue_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -10,11 +11,13 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+	"github.com/sequoiarack/sequoiarack/internal/clock"
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
@@ -134,12 +137,12 @@
 }
 
 var _ = Describe("a catalogue", func() {
-	var clock *hand
+	var hands *hand
 	newCatalogue := func() *catalogue.Catalogue {
-		return catalogue.New(plain{}, map[string]string{"n1": "north"}, catalogue.WithClock(clock))
+		return catalogue.New(plain{}, map[string]string{"n1": "north"}, catalogue.WithClock(hands))
 	}
 
-	BeforeEach(func() { clock = &hand{now: time.Unix(1000, 0)} })
+	BeforeEach(func() { hands = &hand{now: time.Unix(1000, 0)} })
 
 	data, err := os.ReadFile("testdata/order.json")
 	if err != nil {
@@ -156,7 +159,7 @@
 		It(c.Name, func() {
 			known := newCatalogue()
 			for _, s := range c.Steps {
-				clock.advance(time.Duration(s.AfterMs) * time.Millisecond)
+				hands.advance(time.Duration(s.AfterMs) * time.Millisecond)
 				if s.StoreReturned {
 					known.StoreReturned()
 				}
@@ -166,14 +169,14 @@
 					known.Apply(s.events(), s.Revision)
 				}
 				known.Sweep()
-				s.check(clock.Now(), known.Now())
+				s.check(hands.Now(), known.Now())
 			}
 		})
 
 		It(c.Name+", told by another host", func() {
 			source, told := newCatalogue(), newCatalogue()
 			for _, s := range c.Steps {
-				clock.advance(time.Duration(s.AfterMs) * time.Millisecond)
+				hands.advance(time.Duration(s.AfterMs) * time.Millisecond)
 				if s.Replace {
 					source.Replace(s.entries(), s.Revision)
 				} else {
@@ -209,3 +212,70 @@
 		Expect(known.Apply(removal, 8)).To(BeEmpty())
 	})
 })
+
+// scriptedStore gives one whole read, and then what is sent to changes.
+type scriptedStore struct {
+	whole   keyvalue.Page
+	changes chan []keyvalue.Event
+}
+
+func (s scriptedStore) Read(context.Context) (keyvalue.Page, error) { return s.whole, nil }
+
+func (s scriptedStore) Changes(ctx context.Context, after int64) ([]keyvalue.Event, int64, error) {
+	select {
+	case events := <-s.changes:
+		return events, events[len(events)-1].ModRevision, nil
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+}
+
+// reading is a circle whose reader is this host.
+type reading struct{ told chan catalogue.News }
+
+func (reading) Reads() bool { return true }
+
+func (reading) Joining() bool { return false }
+
+func (r reading) Tell(n catalogue.News) { r.told <- n }
+
+var _ = Describe("the host that reads the store for others", func() {
+	put := func(key, value string, revision int64) keyvalue.Event {
+		return keyvalue.Event{Entry: keyvalue.Entry{Key: key, Value: []byte(value), ModRevision: revision}}
+	}
+	gone := func(key string, revision int64) keyvalue.Event {
+		return keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true}
+	}
+
+	It("tells them also what it has heard before from other hosts, as they may not have", func() {
+		store := scriptedStore{changes: make(chan []keyvalue.Event, 1), whole: keyvalue.Page{Revision: 4, Entries: []keyvalue.Entry{
+			put("config", "1", 2).Entry, put("target/a", "1 1 ready", 3).Entry, put("target/b", "1 1 ready", 4).Entry,
+		}}}
+		circle := reading{told: make(chan catalogue.News, 8)}
+		regions := map[string]string{"n1": "north"}
+		own, mate := catalogue.New(plain{}, regions), catalogue.New(plain{}, regions)
+		mate.Replace(store.whole.Entries, store.whole.Revision)
+		noPeer := func(context.Context, int64) (catalogue.Difference, error) { return catalogue.Difference{}, errors.New("none") }
+		follower := catalogue.NewFollower(own, store, noPeer, circle, clock.System{}, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.FollowStore(ctx) }()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(ended).WithTimeout(5 * time.Second).Should(Receive())
+		})
+		Eventually(circle.told).WithTimeout(5 * time.Second).Should(Receive())
+
+		changes := []keyvalue.Event{put("config", "2", 5), put("target/a", "1 2 draining", 6), gone("target/b", 7)}
+		follower.Take(catalogue.News{Partial: true, Events: changes})
+		Eventually(circle.told).Should(Receive(HaveField("Partial", true))) // and the mate does not get it
+		store.changes <- changes
+		var news catalogue.News
+		Eventually(circle.told).WithTimeout(5 * time.Second).Should(Receive(&news))
+		Expect(news.After).To(Equal(mate.Now().Revision))
+		mate.Apply(news.Events, news.Revision)
+		Expect(mate.Now().Table.Version()).To(Equal(uint64(2)))
+		Expect(mate.Now().Targets["a"].State).To(Equal(catalogue.Draining))
+		Expect(mate.Now().Targets).NotTo(HaveKey("b"))
+	})
+})
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -202,7 +202,7 @@
 	if returning {
 		f.catalogue.StoreReturned()
 	}
-	f.tell(News{After: after, Revision: revision, Events: f.catalogue.Apply(events, revision), Returned: returning})
+	f.tell(News{After: after, Revision: revision, Events: f.catalogue.ApplyRead(events, revision), Returned: returning})
 	return nil
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -245,6 +245,7 @@
 		return false
 	}
 	if again.source.stream == nil {
+		again.source.body.Release()
 		f.note("not resumed: status %d", again.status)
 		return false
 	}
