--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -255,7 +255,9 @@
 		regions := map[string]string{"n1": "north"}
 		own, mate := catalogue.New(plain{}, regions), catalogue.New(plain{}, regions)
 		mate.Replace(store.whole.Entries, store.whole.Revision)
-		noPeer := func(context.Context, int64) (catalogue.Difference, error) { return catalogue.Difference{}, errors.New("none") }
+		noPeer := func(context.Context, int64) (catalogue.Difference, error) {
+			return catalogue.Difference{}, errors.New("none")
+		}
 		follower := catalogue.NewFollower(own, store, noPeer, circle, clock.System{}, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
