--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -235,8 +235,6 @@
 
 func (reading) Reads() bool { return true }
 
-func (reading) Joining() bool { return false }
-
 func (r reading) Tell(n catalogue.News) { r.told <- n }
 
 var _ = Describe("the host that reads the store for others", func() {
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -55,9 +55,6 @@
 type Circle interface {
 	// Reads reports whether this host is the one that reads for the others.
 	Reads() bool
-	// Joining reports whether the host may still hear from others what the store says,
-	// so that a fleet that starts as a whole reads it a few times only.
-	Joining() bool
 	// Tell tells the others. It must not block.
 	Tell(n News)
 }
@@ -101,7 +98,7 @@
 		if state.first && f.catalogue.Now().Revision > 0 {
 			state.whole, state.first, state.told = false, false, now // another host has told all
 		}
-		if !now.Before(state.next) && !f.circle.Joining() && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
+		if !now.Before(state.next) && (state.whole || f.circle.Reads() || now.Sub(state.told) > toldAge) {
 			state = f.step(ctx, state)
 			state.next = f.clock.Now().Add(f.pause(state))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,8 +76,6 @@
 	network  link.Network
 	sealer   *seal.Sealer
 	started  time.Time
-	// joinPatience is how long the host waits at its start for others to tell it.
-	joinPatience time.Duration
 	// wordPatience is how long a call waits for the coordinators of targets.
 	wordPatience time.Duration
 
@@ -166,7 +164,7 @@
 	for _, option := range options {
 		option(g)
 	}
-	g.started, g.joinPatience = g.clock.Now(), g.spread(joinPatience)
+	g.started = g.clock.Now()
 	g.pool = exchange.NewPool(g.network, exchange.WithEcho(g.protocol.IDHeader()), exchange.WithEndByClose())
 	g.peers = exchange.NewPool(g.network)
 	g.controls = exchange.NewPool(g.network)
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,10 +24,6 @@
 	newsTimeout = 300 * time.Millisecond
 	// maxTellers bounds the hosts that are told at once.
 	maxTellers = 8
-	// joinPatience is how long at least a host that starts waits for others to tell it
-	// what the store says: a few times what a host takes that reads it at once. It
-	// waits for up to twice as long, so that hosts do not read all at one moment.
-	joinPatience = 700 * time.Millisecond
 	// readerKey picks the host of a data centre that reads the store.
 	readerKey = "\x00store reader"
 )
@@ -41,16 +36,6 @@
 	return !c.g.leaving.Load() && c.g.readerOf(c.g.settings.DataCentre) == c.g.settings.Host
 }
 
-// Joining reports whether the host waits for others to tell it what the store says.
-// A seed waits for nobody.
-func (c circle) Joining() bool {
-	s := c.g.settings
-	if len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.PeerAddress) || c.g.catalogue.Now().Table != nil {
-		return false
-	}
-	return c.g.clock.Now().Sub(c.g.started) < c.g.joinPatience
-}
-
 // Tell hands news to the duty that tells other hosts.
 func (c circle) Tell(n catalogue.News) {
 	if !c.g.news.Offer(n) {
