--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 )
 
@@ -236,9 +234,10 @@
 }
 
 // firstRead is the cost of reading parts at a target when no target is known to
-// keep all of them: a short first part that all prompts share is kept everywhere. It leads all hosts to the same target, also hosts that have restarted
-// and do not know what targets keep. In a large region, hosts ask only about the
-// targets that parts hash to, so that long parts read elsewhere are read again.
+// keep all of them: a short first part that all prompts share is kept everywhere. It
+// leads all hosts to the same target, also hosts that have restarted and do not know
+// what targets keep. In a large region, hosts ask only about the targets that parts
+// hash to, so that long parts read elsewhere are read again.
 func (b *Book) firstRead(now time.Time, t *target, w Work, home string) time.Duration {
 	if len(w.Parts) < 2 {
 		return 0
@@ -259,7 +258,7 @@
 
 // partRank orders targets for the call's shared parts, of which there is one at least.
 func partRank(t *target, w Work) uint64 {
-	return mix(xxhash.Sum64String(t.ID) ^ w.Parts[len(w.Parts)-2].ID)
+	return mix(t.hash ^ w.Parts[len(w.Parts)-2].ID)
 }
 
 // sharedTokens counts the tokens of a prompt that other prompts share.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -115,11 +115,12 @@
 // ApplyRead takes changes that were read in the store. It also returns those that were
 // known already: other hosts told of them, and may not have told all.
 func (c *Catalogue) ApplyRead(events []keyvalue.Event, revision int64) []keyvalue.Event {
-	return c.apply(events, revision, c.known)
+	return c.apply(events, revision, func(e keyvalue.Event) bool { return c.known(e.Entry) })
 }
 
-// known reports whether an event, or a later one of its key, was taken before.
-func (c *Catalogue) known(e keyvalue.Event) bool {
+// known reports whether an entry or its removal, or a later one of its key, was taken
+// before.
+func (c *Catalogue) known(e keyvalue.Entry) bool {
 	return c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision
 }
 
@@ -169,7 +170,7 @@
 	next, before := c.next(revision), c.Now().Revision
 	var news []keyvalue.Event
 	for _, e := range entries {
-		early := e.ModRevision > before && c.known(keyvalue.Event{Entry: e})
+		early := e.ModRevision > before && c.known(e)
 		if c.put(next, e) || early {
 			news = append(news, keyvalue.Event{Entry: e})
 		}
@@ -314,7 +315,7 @@
 // put takes one entry unless something newer is known of its key, and reports
 // whether it says something new.
 func (c *Catalogue) put(next *Snapshot, e keyvalue.Entry) bool {
-	if c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision {
+	if c.known(e) {
 		return false
 	}
 	c.entries[e.Key] = e
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -34,7 +34,6 @@
 
 // hearing is the last word of a host.
 type hearing struct {
-	region      string
 	incarnation int64
 	counter     uint64
 	at          time.Time
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -193,7 +193,7 @@
 	if m.Region != g.settings.Region {
 		g.regionsHeard[m.Region] = now
 	}
-	g.heard[m.Host] = hearing{region: m.Region, incarnation: m.Incarnation, counter: m.Counter, at: now}
+	g.heard[m.Host] = hearing{incarnation: m.Incarnation, counter: m.Counter, at: now}
 	if m.Region != g.settings.Region {
 		g.regions.Take(now, m.Region, m.Services)
 		return
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -37,6 +37,10 @@
 	beaten    bool // a heartbeat came since the host is monitored
 }
 
+func newRecord(now time.Time, info Info) *record {
+	return &record{info: info, hash: xxhash.Sum64String(info.Host), heard: now, changed: now}
+}
+
 // Table is one host's view of the fleet. Its owner is one goroutine.
 type Table struct {
 	self    Info
@@ -57,7 +61,7 @@
 // NewTable returns a Table that knows the host itself.
 func NewTable(now time.Time, self Info) *Table {
 	t := &Table{self: self, hosts: map[string]*record{}, centres: map[string]time.Time{}}
-	t.hosts[self.Host] = &record{info: self, hash: xxhash.Sum64String(self.Host), heard: now, changed: now}
+	t.hosts[self.Host] = newRecord(now, self)
 	return t
 }
 
@@ -81,7 +85,7 @@
 
 func (t *Table) setSelf(now time.Time, info Info) {
 	t.self = info
-	t.hosts[info.Host] = &record{info: info, hash: xxhash.Sum64String(info.Host), heard: now, changed: now}
+	t.hosts[info.Host] = newRecord(now, info)
 	t.changed()
 }
 
@@ -96,7 +100,7 @@
 		return false, nil
 	}
 	if !ok {
-		known = &record{heard: now, hash: xxhash.Sum64String(info.Host)}
+		known = newRecord(now, info)
 		t.hosts[info.Host] = known
 	}
 	if info.Status == Alive {
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -41,8 +41,13 @@
 	if err != nil || len(given) != sealBytes {
 		return false
 	}
+	return s.matches(given, parts)
+}
+
+// matches reports whether a sum was made of the parts with one of the keys.
+func (s *Sealer) matches(sum []byte, parts [][]byte) bool {
 	for _, key := range s.keys {
-		if hmac.Equal(given, mac(key, parts)[:sealBytes]) {
+		if hmac.Equal(sum, mac(key, parts)[:sealBytes]) {
 			return true
 		}
 	}
@@ -60,12 +65,10 @@
 		return nil, false
 	}
 	body := data[sealBytes:]
-	for _, key := range s.keys {
-		if hmac.Equal(data[:sealBytes], mac(key, [][]byte{body})[:sealBytes]) {
-			return body, true
-		}
+	if !s.matches(data[:sealBytes], [][]byte{body}) {
+		return nil, false
 	}
-	return nil, false
+	return body, true
 }
 
 // Digest returns a keyed digest of the parts in hexadecimal digits.
