internal/balance: fetch shared parts from other targets, and ask what is kept

Ruled out: beliefs that are too old (15 of 204 second reads in a region came more than 30 s after the one before), choices that pass a keeper over (the fewest tokens unread anywhere and those sent were 9.50 and 9.87 million).

Change: a choice counts fetching from the target that keeps the most, by a pace that is learned; one host of a region asks each target for its list where nobody can know, and tells the others.

The model of a large region fetches too; its bounds stand. The test that a host learns what is kept now lets the prompt be read first: while it waits, a fetch is sooner.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -98,7 +98,10 @@
 	It("learns from other hosts which parts are kept", func() {
 		one, other := book(8), book(8)
 		id := choose(one, start, shared(7, 5000, 1000))
-		tell(start, other, one, id, shared(7, 5000, 1000))
+		f := tell(start, other, one, id, shared(7, 5000, 1000))
+		one.First(start.Add(time.Second), f) // what waits behind the prompt would be fetched
+		c, _ := one.ChangeAt(start.Add(time.Second), id, balance.Work{})
+		other.TakeChange(start.Add(time.Second), "h1", c)
 		Expect(choose(other, start.Add(time.Second), shared(7, 5000, 2000))).To(Equal(id))
 	})
 
--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -32,6 +32,8 @@
 	hosts    Hosts
 	cold     map[string]float64 // rate of cold targets by service
 	paces    map[string]*pace
+	fetches  map[string]*pace
+	prompted map[string]bool // services whose calls have prompts
 	own      map[string]*serviceFlows
 	others   map[string]hostFlows // by host of the region
 }
@@ -45,7 +47,7 @@
 // NewBook returns an empty Book for a region.
 func NewBook(region string, seed uint64) *Book {
 	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{},
-		paces: map[string]*pace{}, own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
+		paces: map[string]*pace{}, fetches: map[string]*pace{}, prompted: map[string]bool{}, own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
 }
 
 // Configure takes the targets of a snapshot.
@@ -57,7 +59,7 @@
 		known := b.targets[id]
 		switch {
 		case known == nil:
-			known = newTarget(t, b.pace(t.Service))
+			known = newTarget(t, b.pace(t.Service), b.fetchPace(t.Service))
 			b.targets[id] = known
 			b.pickNew(known)
 		case known.Incarnation != t.Incarnation:
@@ -135,6 +137,10 @@
 type Choice struct {
 	Target     catalogue.Target
 	Prediction Prediction
+	// Source is the target from which Fetched tokens of the prompt are fetched that it
+	// keeps. It is empty when nothing is fetched.
+	Source  catalogue.Target
+	Fetched int
 	// Least is the fewest tokens of the prompt that any target would read.
 	Least int
 	// Pause is the mean pause between events at the service's targets.
@@ -145,8 +151,9 @@
 // may be used. Targets that are excluded come only when there are no others. Where
 // coordinators have spoken for the call, only their targets come into question.
 func (b *Book) Choose(now time.Time, w Work, exclude []string) (Choice, bool) {
+	b.prompted[w.Service] = b.prompted[w.Service] || w.Tokens > 0
 	choices := b.serving(now, w.Service, exclude)
-	views := b.views(now, w, choices)
+	views := withFetches(w, b.views(now, w, choices))
 	least := w.Tokens
 	for _, v := range views {
 		least = min(least, v.unread)
@@ -177,7 +184,11 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Target: best.Target, Least: least, Prediction: prediction, Pause: meanPause(now, choices)}, true
+	choice := Choice{Target: best.Target, Least: least, Prediction: prediction, Pause: meanPause(now, choices)}
+	if best.source != nil {
+		choice.Source, choice.Fetched = best.source.Target, best.fetched
+	}
+	return choice, true
 }
 
 // views returns the targets as a call finds them: those that coordinators spoke of,
@@ -298,34 +309,45 @@
 
 // Flight is a call at a target, from its sending to its end.
 type Flight struct {
-	target *target
-	work   Work
-	began  time.Time
-	unread int
-	ahead  float64
-	first  bool
-	ended  bool
+	target  *target
+	work    Work
+	began   time.Time
+	unread  int
+	fetched int
+	ahead   float64
+	first   bool
+	ended   bool
 }
 
+// FlightOption changes a Flight that begins.
+type FlightOption func(*Flight)
+
+// WithFetch tells that the target fetches the given tokens of the prompt from another one.
+func WithFetch(tokens int) FlightOption { return func(f *Flight) { f.fetched = tokens } }
+
 // Begin notes that a call is sent to a target. It returns nil when the target is
 // no longer known.
-func (b *Book) Begin(now time.Time, id string, w Work) *Flight {
+func (b *Book) Begin(now time.Time, id string, w Work, options ...FlightOption) *Flight {
 	t := b.targets[id]
 	if t == nil {
 		return nil
 	}
 	v := t.view(now, w)
 	f := &Flight{target: t, work: w, began: now, ahead: v.backlog, unread: v.unread}
+	for _, option := range options {
+		option(f)
+	}
 	if said, ok := w.Said[id]; ok {
 		f.ahead, f.unread = float64(said.backlog(w.Rank)), said.Unread
 	}
+	f.unread = max(0, f.unread-f.fetched)
 	t.prompts = t.prompts || w.Tokens > 0
 	if len(t.flying) == 0 {
 		t.progressAt = now
 	}
 	t.flying[f] = struct{}{}
 	t.noteSpell(now)
-	t.keep(now, w.Parts)
+	t.keep(now, now.Add(t.timeToRead(now, f.ahead+float64(f.unread))), keysOf(w.Parts))
 	if b.Coordinated() {
 		t.note(now, beginning{at: now, rank: w.Rank, unread: f.unread})
 	}
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -34,14 +34,16 @@
 	Unread int
 	// ReadingMs is how long the target has read prompts without a rest.
 	ReadingMs int
+	// Kept is the tokens of the call's prompt that other targets may fetch from it.
+	Kept int
 }
 
 // loadFigures is how many figures a TargetLoad has.
-const loadFigures = shareFigures + 2
+const loadFigures = shareFigures + 3
 
 // MarshalCBOR writes the figures as a list, as one is sent for each target asked.
 func (l TargetLoad) MarshalCBOR() ([]byte, error) {
-	return cbor.Marshal(append(l.ints(), l.Unread, l.ReadingMs))
+	return cbor.Marshal(append(l.ints(), l.Unread, l.ReadingMs, l.Kept))
 }
 
 // UnmarshalCBOR reads the list of figures.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	*l = TargetLoad{TargetShare: shareOf(list), Unread: list[shareFigures], ReadingMs: list[shareFigures+1]}
+	*l = TargetLoad{TargetShare: shareOf(list), Unread: list[shareFigures], ReadingMs: list[shareFigures+1], Kept: list[shareFigures+2]}
 	return nil
 }
 
@@ -99,7 +101,9 @@
 	if t == nil {
 		return TargetLoad{}, false
 	}
-	return TargetLoad{TargetShare: t.all(now), Unread: t.unread(now, w), ReadingMs: int(t.spell.lasts(now).Milliseconds())}, true
+	return TargetLoad{
+		TargetShare: t.all(now), Unread: t.unread(now, w), ReadingMs: int(t.spell.lasts(now).Milliseconds()), Kept: t.kept(now, w),
+	}, true
 }
 
 // all is what all hosts have at the target, as its coordinator knows.
@@ -139,8 +143,8 @@
 		return Change{}, false
 	}
 	c := Change{Target: id, Has: t.own(now)}
-	for _, p := range w.Parts {
-		c.Parts = append(c.Parts, keyOf(p))
+	if len(w.Parts) > 0 {
+		c.Parts = keysOf(w.Parts)
 	}
 	t.saidAt = now
 	return c, true
@@ -181,16 +185,12 @@
 	if c.Has.backlog(ranksTold) < t.shares[host].backlog(ranksTold) {
 		t.progressAt = now
 	}
-	for _, part := range c.Parts {
-		if len(t.parts) < maxParts {
-			t.parts[part] = now
-		}
-	}
 	if c.Has == (TargetShare{}) {
 		delete(t.shares, host)
 	} else {
 		t.shares[host] = hostShare{TargetShare: c.Has, at: now, age: changeAge}
 		t.takeSpare(now, c.Has)
 	}
+	t.keep(now, now.Add(t.timeToRead(now, t.backlog(now, ranksTold))), c.Parts)
 	t.noteSpell(now)
 }
--- a/internal/balance/large_test.go
+++ b/internal/balance/large_test.go
@@ -18,9 +18,11 @@
 	largeHosts   = 42
 	largeTargets = 68
 	modelRate    = 60.0 // tokens of a prompt that a model target reads in a millisecond
-	wayThere     = 3 * time.Millisecond
-	tellPause    = 800 * time.Millisecond
-	longestHold  = 480 * time.Millisecond // 0.4 of an aim of 1.2 s
+	// modelFetchRate is how many tokens it fetches from another one in that time.
+	modelFetchRate = 200.0
+	wayThere       = 3 * time.Millisecond
+	tellPause      = 800 * time.Millisecond
+	longestHold    = 480 * time.Millisecond // 0.4 of an aim of 1.2 s
 )
 
 // modelTarget reads prompts one after another and keeps their shared parts.
@@ -29,8 +31,19 @@
 	parts map[uint64]bool
 }
 
-// run returns when the first byte of a call comes that arrives at now.
-func (m *modelTarget) run(now time.Time, w balance.Work) time.Time {
+// run returns when the first byte of a call comes that arrives at now. The target first
+// fetches what a source keeps of the shared parts, if there is one.
+func (m *modelTarget) run(now time.Time, w balance.Work, source *modelTarget) time.Time {
+	if source != nil {
+		fetched := 0
+		for _, p := range w.Parts[:len(w.Parts)-1] {
+			if source.parts[p.ID] && !m.parts[p.ID] {
+				fetched += p.Tokens
+				m.parts[p.ID] = true
+			}
+		}
+		now = now.Add(time.Duration(float64(fetched) / modelFetchRate * float64(time.Millisecond)))
+	}
 	unread := w.Tokens
 	for _, p := range w.Parts[:len(w.Parts)-1] {
 		if m.parts[p.ID] {
@@ -154,18 +167,18 @@
 			r.at(r.now.Add(hold), func() { r.try(name, w, began) })
 			return
 		}
-		r.send(name, choice.Target.ID, w, began)
+		r.send(name, choice, w, began)
 	})
 }
 
-func (r *largeRegion) send(name, id string, w balance.Work, began time.Time) {
-	b := r.books[name]
-	flight := b.Begin(r.now, id, w)
+func (r *largeRegion) send(name string, choice balance.Choice, w balance.Work, began time.Time) {
+	b, id, source := r.books[name], choice.Target.ID, r.targets[choice.Source.ID]
+	flight := b.Begin(r.now, id, w, balance.WithFetch(choice.Fetched))
 	r.change(name, id, w)
-	if p := w.Parts[len(w.Parts)-2]; p.Tokens > 2000 && !r.targets[id].parts[p.ID] {
+	if p := w.Parts[len(w.Parts)-2]; p.Tokens > 2000 && !r.targets[id].parts[p.ID] && (source == nil || !source.parts[p.ID]) {
 		r.reads++
 	}
-	first := r.targets[id].run(r.now, w)
+	first := r.targets[id].run(r.now, w, source)
 	r.at(first, func() {
 		r.firsts[w.Tokens] = append(r.firsts[w.Tokens], r.now.Sub(began))
 		b.First(r.now, flight)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -49,11 +49,15 @@
 		}
 	}
 	for _, t := range b.targets {
-		if live[t.picked.host] {
+		was := t.picked.host
+		if live[was] {
 			t.picked.compare(t.hash, come)
 		} else {
 			b.pickNew(t)
 		}
+		if b.Coordinated() && t.picked.host == b.hosts.Self && was != b.hosts.Self {
+			t.listing = listing{} // the coordinator before was told of calls
+		}
 	}
 }
 
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -5,12 +5,19 @@
 	"time"
 )
 
-// pace returns the pace of a service's targets.
-func (b *Book) pace(service string) *pace {
-	p := b.paces[service]
+// pace returns how fast a service's targets read prompts.
+func (b *Book) pace(service string) *pace { return paceOf(b.paces, service, initialRate) }
+
+// fetchPace returns how fast a service's targets fetch from one another what they keep.
+func (b *Book) fetchPace(service string) *pace {
+	return paceOf(b.fetches, service, initialFetchRate)
+}
+
+func paceOf(paces map[string]*pace, service string, initial float64) *pace {
+	p := paces[service]
 	if p == nil {
-		p = &pace{rate: initialRate}
-		b.paces[service] = p
+		p = &pace{rate: initial}
+		paces[service] = p
 	}
 	return p
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -14,6 +14,7 @@
 	catalogue.Target
 
 	pace   *pace         // of the service's targets
+	fetch  *pace         // of the service's targets from one another
 	factor float64       // of this target, against the pace
 	span   time.Duration // of a call without a prompt
 	flying map[*Flight]struct{}
@@ -22,7 +23,7 @@
 	loadAt time.Time
 	// progressAt is when the target last showed that it reads prompts.
 	progressAt time.Time
-	parts      map[partKey]time.Time
+	parts      map[partKey]keptPart
 	health     health
 	cold       coldBudget
 	prompts    bool // the target reads prompts
@@ -36,6 +37,7 @@
 	// sparedUntil until when it wants nothing from some other one.
 	refusesUntil time.Time
 	sparedUntil  time.Time
+	listing      listing
 	hash         uint64 // of the ID
 	picked       pick
 	// saidAt is when the host last told the coordinator what it has at the target.
@@ -64,6 +66,9 @@
 	flights int     // of all hosts
 	backlog float64 // tokens of prompts that go before the call
 	unread  int     // tokens of its own prompt that the target has to read
+	kept    int     // tokens of its prompt that other targets may fetch from it
+	fetched int     // tokens of its prompt that the target is to fetch from source
+	source  *target // nil when nothing is fetched
 	// reading is how long the target has read prompts without a rest, 0 where that is
 	// not to count: in a large region, at targets whose streams do not pause.
 	reading time.Duration
@@ -71,30 +76,31 @@
 
 // view returns the target as the host believes.
 func (t *target) view(now time.Time, w Work) view {
-	return view{target: t, flights: t.flights(now), backlog: t.backlog(now, w.Rank), unread: t.unread(now, w)}
+	return view{target: t, flights: t.flights(now), backlog: t.backlog(now, w.Rank), unread: t.unread(now, w), kept: t.kept(now, w)}
 }
 
 // viewOf returns the target as its coordinator has just told.
 func (t *target) viewOf(w Work, l TargetLoad) view {
-	v := view{target: t, flights: l.Flights, backlog: float64(l.backlog(w.Rank)), unread: l.Unread}
+	v := view{target: t, flights: l.Flights, backlog: float64(l.backlog(w.Rank)), unread: l.Unread, kept: l.Kept}
 	if time.Duration(l.PauseMs)*time.Millisecond > Scale(w.Gap, holdFrom) {
 		v.reading = time.Duration(l.ReadingMs) * time.Millisecond
 	}
 	return v
 }
 
-func newTarget(t catalogue.Target, p *pace) *target {
+func newTarget(t catalogue.Target, read, fetch *pace) *target {
 	return &target{
-		Target: t, hash: xxhash.Sum64String(t.ID), pace: p, factor: 1, span: initialSpan, flying: map[*Flight]struct{}{},
-		shares: map[string]hostShare{}, parts: map[partKey]time.Time{},
+		Target: t, hash: xxhash.Sum64String(t.ID), pace: read, fetch: fetch, factor: 1, span: initialSpan, flying: map[*Flight]struct{}{},
+		shares: map[string]hostShare{}, parts: map[partKey]keptPart{},
 	}
 }
 
 // restart forgets what a new process of the target cannot know any more.
 func (t *target) restart(next catalogue.Target) {
 	t.Target = next
-	t.parts = map[partKey]time.Time{}
+	t.parts = map[partKey]keptPart{}
 	t.health = health{}
+	t.listing = listing{done: true} // a new process keeps what it is sent from now on
 	t.load, t.loadAt = Load{}, time.Time{}
 	t.refusesUntil, t.sparedUntil = time.Time{}, time.Time{}
 }
@@ -174,6 +180,11 @@
 // rate is the tokens of a prompt that the target reads in a millisecond.
 func (t *target) rate() float64 { return t.pace.rate * t.factor }
 
+// timeToRead is how long the target takes for the given tokens of prompts.
+func (t *target) timeToRead(now time.Time, tokens float64) time.Duration {
+	return fromMilliseconds(tokens / t.effectiveRate(now))
+}
+
 func (t *target) effectiveRate(now time.Time) float64 { return t.rate() / t.slowdown(now) }
 
 // unread counts the tokens of a prompt that the target has to read: all after the
@@ -181,7 +192,7 @@
 func (t *target) unread(now time.Time, w Work) int {
 	tokens := w.Tokens
 	for _, p := range w.Parts {
-		if used, kept := t.parts[keyOf(p)]; !kept || now.Sub(used) > partAge {
+		if known, kept := t.parts[keyOf(p)]; !kept || now.Sub(known.used) > partAge {
 			break
 		}
 		tokens -= p.Tokens
@@ -189,22 +200,6 @@
 	return max(0, tokens)
 }
 
-// keep notes that the target has read the parts.
-func (t *target) keep(now time.Time, parts []Part) {
-	if len(t.parts)+len(parts) > maxParts {
-		for id, used := range t.parts {
-			if now.Sub(used) > partAge {
-				delete(t.parts, id)
-			}
-		}
-	}
-	for _, p := range parts {
-		if len(t.parts) < maxParts {
-			t.parts[keyOf(p)] = now
-		}
-	}
-}
-
 // pause is the mean pause between the events of the streams that run at the
 // target, as all hosts saw it lately, and false when none did.
 func (t *target) pause(now time.Time) (time.Duration, bool) {
@@ -270,6 +265,9 @@
 	if over > 0 {
 		wait += float64(over) * milliseconds(v.span) / float64(slots)
 	}
+	if v.fetched > 0 {
+		wait = max(wait, float64(v.fetched)/v.fetch.rate)
+	}
 	return Prediction{
 		Wait: fromMilliseconds(wait), Own: baseSpan + fromMilliseconds(float64(v.unread)/rate),
 		Unread: v.unread, Rate: rate, Stalled: v.stall(now, w, milliseconds(v.reading)*rate+v.backlog+float64(v.unread)) * float64(v.flights+1),
@@ -293,6 +291,10 @@
 	if f.work.Tokens == 0 {
 		return
 	}
+	if f.fetched > 0 {
+		t.learnFetch(now, f)
+		return
+	}
 	tokens := f.ahead + float64(f.unread)
 	if ms := milliseconds(took - baseSpan); tokens >= minSampleTokens && ms > 0 {
 		sample := min(max(tokens/ms*t.slowdown(now), minRate), maxRate)
@@ -301,6 +303,15 @@
 	}
 }
 
+// learnFetch takes the time to the first byte of a call whose target fetched a part of
+// its prompt.
+func (t *target) learnFetch(now time.Time, f *Flight) {
+	rest := milliseconds(now.Sub(f.began)-baseSpan) - float64(f.unread)/t.effectiveRate(now)
+	if f.ahead == 0 && rest > 0 {
+		t.fetch.learn(min(max(float64(f.fetched)/rest, t.rate()), maxFetchRate))
+	}
+}
+
 // learnEnd takes the whole time of a call that was answered well.
 func (t *target) learnEnd(took time.Duration) {
 	t.span += time.Duration(learnShare * float64(took-t.span))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,6 +236,7 @@
 	group.Go("share sender", g.sendShares)
 	group.Go("share receiver", g.receiveShares)
 	group.Go("examiner", g.examine)
+	group.Go("lister", g.listKept)
 	group.Go("hang-ups", func(ctx context.Context) error { return g.hangups.Run(ctx, g.clock) })
 	for _, s := range g.servers {
 		group.Go(s.name, s.run)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -109,8 +109,8 @@
 		away += fmt.Sprintf(" %s=%d", option.Region, option.Total().Milliseconds())
 	}
 	p := q.Local.Prediction
-	f.note("decided %q: asked of %d, target %q wait %d own %d ms, unread %d of %d, least %d, rate %.0f pause %d ms, away%s, aim %d left %d ms, to %s",
-		a.Reason, len(q.Work.Said), q.Local.Target.ID, p.Wait.Milliseconds(), p.Own.Milliseconds(), p.Unread, f.work.Tokens, q.Local.Least, p.Rate, q.Local.Pause.Milliseconds(), away,
+	f.note("decided %q: asked of %d, target %q wait %d own %d ms, unread %d of %d, least %d, fetched %d, rate %.0f pause %d ms, away%s, aim %d left %d ms, to %s",
+		a.Reason, len(q.Work.Said), q.Local.Target.ID, p.Wait.Milliseconds(), p.Own.Milliseconds(), p.Unread, f.work.Tokens, q.Local.Least, q.Local.Fetched, p.Rate, q.Local.Pause.Milliseconds(), away,
 		q.Aim.Milliseconds(), q.Left.Milliseconds(), destination(q, a))
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -38,6 +38,9 @@
 	Ranked bool
 	// LastEvent is the event after which a stream goes on, if it is set.
 	LastEvent string
+	// FetchFrom is the address of the target from which this one fetches what that keeps
+	// of the prompt, empty if from none.
+	FetchFrom string
 }
 
 // Answer is what the head of a target's answer says.
@@ -76,6 +79,10 @@
 	ReadCall(h *fasthttp.RequestHeader) Call
 	// Strip removes what callers may not set, and what concerns one connection.
 	Strip(h *fasthttp.RequestHeader)
+	// KeptPath is where targets say what they keep of prompts, in a body that ReadKept
+	// reads.
+	KeptPath() string
+	ReadKept(body []byte) ([]balance.Part, error)
 	WriteSend(h *fasthttp.RequestHeader, s Send)
 	ReadAnswer(h *fasthttp.ResponseHeader) Answer
 	ReadQuestion(args *fasthttp.Args) Question
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -155,11 +155,13 @@
 	t := f.newTry(choice.Prediction.Total(), target.ID)
 	t.choice = choice
 	f.g.mu.Lock()
-	t.handle = f.g.book.Begin(f.g.clock.Now(), target.ID, f.work)
+	t.handle = f.g.book.Begin(f.g.clock.Now(), target.ID, f.work, balance.WithFetch(choice.Fetched))
 	f.g.mu.Unlock()
 	f.g.tellChange(target.ID, f.work)
 	f.tried = append(f.tried, target.ID)
-	request := f.prepare(Send{Instance: target.ID, Left: f.left(), Rank: f.route.Rank, Ranked: f.work.Tokens > 0})
+	request := f.prepare(Send{
+		Instance: target.ID, Left: f.left(), Rank: f.route.Rank, Ranked: f.work.Tokens > 0, FetchFrom: choice.Source.Address,
+	})
 	defer fasthttp.ReleaseRequest(request)
 	response, err := f.g.pool.Do(t.ctx, target.Address, request)
 	if err != nil {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -38,6 +38,8 @@
 	// Question and Word are between a host and the coordinator of targets.
 	Question *question `cbor:"8,keyasint,omitempty"`
 	Word     *word     `cbor:"9,keyasint,omitempty"`
+	// Kept is what a target said that it keeps.
+	Kept *balance.KeptList `cbor:"10,keyasint,omitempty"`
 }
 
 // sendShares is the duty that tells other hosts of the load.
@@ -201,6 +203,9 @@
 	if m.Share != nil {
 		g.book.Merge(now, m.Host, *m.Share)
 	}
+	if m.Kept != nil {
+		g.book.TakeKept(now, *m.Kept)
+	}
 	for _, c := range m.Changes {
 		g.book.TakeChange(now, m.Host, c)
 	}
