--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -315,6 +315,38 @@
 		Expect(balance.Decide(q).Local).To(BeTrue())
 	})
 
+	It("counts on what the targets of that region keep", func() {
+		q := question(local(0, 100*time.Millisecond, 0), balance.Away{Region: "south", Own: 600 * time.Millisecond, Trip: 120 * time.Millisecond, Rate: 40})
+		q.Aim, q.Work = 800*time.Millisecond, shared(7, 13000, 3000)
+		Expect(balance.Decide(q.WithKeeper("south", "north")).Region).To(Equal("south"))
+		q.Work = shared(7, 3000, 13000)
+		q.Away[0].Wait = 300 * time.Millisecond
+		Expect(balance.Decide(q.WithKeeper("south", "north")).Local).To(BeTrue())
+	})
+
+	It("sends nothing away that the own region keeps, while that is in good time", func() {
+		q := question(local(200*time.Millisecond, 300*time.Millisecond, 0), idle)
+		q.Work, q.Spill = shared(7, 13000, 3000), map[string]float64{"south": 1}
+		Expect(balance.Decide(q).Region).To(Equal("south"))
+		q = q.WithKeeper("north", "north")
+		Expect(balance.Decide(q).Local).To(BeTrue())
+		q.Local.Prediction.Wait = time.Second
+		Expect(balance.Decide(q).Region).To(Equal("south"))
+	})
+
+	It("tells callers that nobody can serve to come back late, and not all at once", func() {
+		q := question(balance.Choice{})
+		q.Here = false
+		q.Spread = 0
+		latest := balance.Decide(q).RetryAfter
+		Expect(latest).To(BeNumerically("~", q.Left/3, time.Millisecond)) // callers heed no more
+		q.Spread = 1
+		Expect(balance.Decide(q).RetryAfter).To(And(BeNumerically(">", q.Left/6), BeNumerically("<", latest*3/4)))
+		q.Opens = 200 * time.Millisecond // a target says when it wants calls again
+		q.Spread = 0
+		Expect(balance.Decide(q).RetryAfter).To(BeNumerically("<", time.Second))
+	})
+
 	It("goes away when there is no target at home, and is refused when there is none anywhere", func() {
 		q := question(balance.Choice{}, idle)
 		q.Here = false
@@ -516,11 +548,21 @@
 	It("leaves one service out that a region has refused, and no other", func() {
 		r := balance.NewRegions()
 		r.Take(start, "south", map[string]balance.ServiceState{service: {Targets: 3, Rate: 100}, "desk": {Targets: 1}})
-		r.RefusedBy(start, "south", service)
+		r.RefusedBy(start, "south", prompt(100))
 		Expect(r.Options(start, []string{"south"}, prompt(100), false)).To(BeEmpty())
 		Expect(r.Options(start, []string{"south"}, balance.Work{Service: "desk"}, false)).To(HaveLen(1))
 	})
 
+	It("still asks a region for urgent calls that has refused others", func() {
+		r := balance.NewRegions()
+		r.Take(start, "south", map[string]balance.ServiceState{service: {Targets: 3, Rate: 100}})
+		r.RefusedBy(start, "south", prompt(20000))
+		urgent := prompt(100)
+		urgent.Rank = 0
+		Expect(r.Options(start, []string{"south"}, urgent, false)).To(HaveLen(1))
+		Expect(r.Options(start, []string{"south"}, prompt(100), false)).To(BeEmpty())
+	})
+
 	It("counts what was just sent there", func() {
 		r := balance.NewRegions()
 		r.Take(start, "south", map[string]balance.ServiceState{service: {Targets: 1, Rate: 50}})
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 )
 
@@ -10,7 +11,7 @@
 	comfortShare = 0.5
 	// keeperShare is the part of the aim within which the first byte must be expected
 	// from the region that keeps a call's parts.
-	keeperShare = 0.75
+	keeperShare = 0.95
 	// awayGain is what sending away must save at least.
 	awayGain = 40 * time.Millisecond
 	// minWaitShare is the part of the aim that a call may always wait.
@@ -20,6 +21,12 @@
 	// returnShare is the part of its time left over which refused callers are told
 	// to come back.
 	returnShare = 0.25
+	// heededShare is the part of their time left for which callers stay away when they are
+	// told to.
+	heededShare = 1.0 / 3
+	// recoverySpread is the part of that over which those are spread that wait for a
+	// recovery.
+	recoverySpread = 0.4
 )
 
 // Shares of the longest good pause that the mean pause of a region may reach when
@@ -51,6 +58,18 @@
 	Trip time.Duration
 	// Pause is the mean pause between events there.
 	Pause time.Duration
+	// Rate is the tokens of a prompt that one target there reads in a millisecond, 0
+	// when the region has not told.
+	Rate float64
+}
+
+// WithKept returns the prediction for a call of whose prompt a target there keeps the
+// given tokens.
+func (a Away) WithKept(tokens int) Away {
+	if a.Rate > 0 {
+		a.Own = max(baseSpan, a.Own-fromMilliseconds(float64(tokens)/a.Rate))
+	}
+	return a
 }
 
 // Total is the predicted time to the first byte.
@@ -67,7 +86,9 @@
 	Spill map[string]float64
 	// Keeper is the region that keeps the shared parts of the call, if one does.
 	Keeper string
-	Work   Work
+	// Keeps tells that the own region is the keeper.
+	Keeps bool
+	Work  Work
 	// Aim is the time to the first byte that is still good; Left is the time
 	// until the caller gives up.
 	Aim  time.Duration
@@ -83,6 +104,20 @@
 	Spread float64
 }
 
+// WithKeeper names the region that keeps the shared parts of the call, whose targets
+// have the rest of the prompt to read.
+func (q Question) WithKeeper(region, home string) Question {
+	q.Keeper, q.Keeps = region, region == home
+	away := slices.Clone(q.Away)
+	for i, a := range away {
+		if a.Region == region {
+			away[i] = a.WithKept(sharedTokens(q.Work))
+		}
+	}
+	q.Away = away
+	return q
+}
+
 // Answer is where a call goes.
 type Answer struct {
 	// Local and Region exclude each other; with neither the call is refused.
@@ -129,8 +164,10 @@
 	switch {
 	case full:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the streams pause for too long"}
-	case !q.Here && len(q.Away) == 0:
+	case !q.Here && len(q.Away) == 0 && q.Opens > 0:
 		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
+	case !q.Here && len(q.Away) == 0:
+		return Answer{RetryAfter: AfterRecovery(q.Left, q.Spread), Reason: "no target"}
 	default:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the wait is too long"}
 	}
@@ -146,6 +183,9 @@
 
 // keeper sends a call to the region that keeps its parts.
 func (q Question) keeper() (Answer, bool) {
+	if q.Keeps && q.Here && !strained(q.Work, q.Local.Pause) && q.Local.Prediction.Total() <= Scale(q.Aim, keeperShare) {
+		return Answer{Local: true, Reason: "the region keeps its parts"}, true
+	}
 	for _, a := range q.Away {
 		if q.Here && a.Region == q.Keeper && !strained(q.Work, a.Pause) && a.Total() <= Scale(q.Aim, keeperShare) {
 			return Answer{Region: a.Region, Reason: "the region that keeps its parts"}, true
@@ -174,6 +214,15 @@
 	return best, len(q.Away) > 0 && !strained(q.Work, best.Pause) && best.Wait <= limit && best.Total() < q.Left
 }
 
+// AfterRecovery is when a caller with the given time left is to come back to a host that
+// lacks what it needs to serve anyone. How long that lasts is not known. A caller that
+// comes back in vain is mostly lost, and one that comes back late is only late; so it
+// is told the longest times that callers heed. Spread is a number from 0 to 1 that
+// differs from call to call.
+func AfterRecovery(left time.Duration, spread float64) time.Duration {
+	return max(minRetryAfter, Scale(left, heededShare*(1-recoverySpread*spread)))
+}
+
 // retryAfter is when the wait is expected to have fallen to half of the limit, and
 // not before a target is in use.
 func retryAfter(q Question, limit time.Duration) time.Duration {
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -16,8 +16,8 @@
 	// pauseAfterLoss is how long a region is left out after a call was lost on
 	// the way there.
 	pauseAfterLoss = 700 * time.Millisecond
-	// pauseAfterRefusal is how long a service is not asked of a region that has
-	// refused a call for it.
+	// pauseAfterRefusal is how long a region is not asked for calls of a service and a
+	// rank that has refused one of them.
 	pauseAfterRefusal = 150 * time.Millisecond
 )
 
@@ -33,9 +33,18 @@
 	trip     time.Duration
 	sent     []sentWork
 	out      time.Time            // not asked before
-	refused  map[string]time.Time // services that are not asked before
+	refused  map[ranked]time.Time // calls for which it is not asked before
 }
 
+// ranked is the calls of one rank for a service. More urgent calls go before the others
+// at targets, so that a refusal of one sort says nothing of another.
+type ranked struct {
+	service string
+	rank    int
+}
+
+func rankedOf(w Work) ranked { return ranked{service: w.Service, rank: min(w.Rank, ranksTold-1)} }
+
 type sentWork struct {
 	at      time.Time
 	service string
@@ -48,7 +57,7 @@
 func (r *Regions) view(region string) *regionView {
 	v := r.regions[region]
 	if v == nil {
-		v = &regionView{trip: initialTrip, refused: map[string]time.Time{}}
+		v = &regionView{trip: initialTrip, refused: map[ranked]time.Time{}}
 		r.regions[region] = v
 	}
 	return v
@@ -76,9 +85,9 @@
 // Lost notes that a call was lost on the way to a region.
 func (r *Regions) Lost(now time.Time, region string) { r.view(region).out = now.Add(pauseAfterLoss) }
 
-// RefusedBy notes that a region has refused a call for a service.
-func (r *Regions) RefusedBy(now time.Time, region, service string) {
-	r.view(region).refused[service] = now.Add(pauseAfterRefusal)
+// RefusedBy notes that a region has refused a call.
+func (r *Regions) RefusedBy(now time.Time, region string, w Work) {
+	r.view(region).refused[rankedOf(w)] = now.Add(pauseAfterRefusal)
 }
 
 // Options returns the regions that may be asked for a call. A region that is
@@ -87,7 +96,7 @@
 	var out []Away
 	for _, region := range live {
 		v := r.view(region)
-		if now.Before(v.out) || now.Before(v.refused[w.Service]) {
+		if now.Before(v.out) || now.Before(v.refused[rankedOf(w)]) {
 			continue
 		}
 		if now.Sub(v.at) > stateAge {
@@ -128,8 +137,8 @@
 		a.Own = time.Duration(s.SpanMs) * time.Millisecond
 		return a
 	}
-	perTarget := float64(max(1, s.Rate)) / float64(s.Targets)
+	a.Rate = float64(max(1, s.Rate)) / float64(s.Targets)
 	a.Wait += fromMilliseconds(float64(tokens) / float64(max(1, s.Rate)))
-	a.Own = baseSpan + fromMilliseconds(float64(w.Tokens)/perTarget)
+	a.Own = baseSpan + fromMilliseconds(float64(w.Tokens)/a.Rate)
 	return a
 }
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -123,10 +123,10 @@
 	g.regions.Trip(region, trip)
 }
 
-func (g *Gateway) refusedBy(region, service string) {
+func (g *Gateway) refusedBy(region string, w balance.Work) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.regions.RefusedBy(g.clock.Now(), region, service)
+	g.regions.RefusedBy(g.clock.Now(), region, w)
 }
 
 func (g *Gateway) lostRegion(region string) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -199,7 +199,7 @@
 	if q.Here && len(q.Away) > 0 {
 		home, others := f.g.book.Basin(now, f.service), f.g.regions.Basins(now, q.Away, f.service)
 		q.Spill = balance.Spill(home, others)
-		q.Keeper = balance.Keeper(f.work, append(others, home))
+		q = q.WithKeeper(balance.Keeper(f.work, append(others, home)), f.g.settings.Region)
 	}
 	return q, balance.Decide(q)
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -23,6 +23,7 @@
 	headerReason    = "Gateway-Reason"
 	headerSpilled   = "Gateway-Spilled"
 	headerLastEvent = "Gateway-Last-Event"
+	headerBehind    = "Gateway-Behind"
 	headerPrefix    = "Gateway-"
 )
 
@@ -98,9 +99,14 @@
 		}
 		t.end(balance.Abandoned)
 		f.note("host %s: %s, %s", host.Host, outcome, reason)
+		if outcome == core.NotRun && len(response.Get(headerBehind)) > 0 {
+			f.g.behind(host.Host)
+			f.away = f.away[:len(f.away)-1] // its other hosts may have the configuration
+			return nil, result{outcome: outcome, reason: reason}
+		}
 		if outcome == core.NotRun {
 			f.opensIn(response.Get(fasthttp.HeaderRetryAfter))
-			f.g.refusedBy(region, f.service)
+			f.g.refusedBy(region, f.work)
 			return nil, result{outcome: outcome, reason: reason}
 		}
 		f.sends++
@@ -183,6 +189,7 @@
 	}
 	sender, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
 	if err != nil || sender > f.version {
+		ctx.Response.Header.Set(headerBehind, "1")
 		g.refuseReceived(ctx, "the host has an older configuration than the sender")
 		return
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -36,7 +36,9 @@
 	call := g.protocol.ReadCall(&ctx.Request.Header)
 	table := g.catalogue.Now().Table
 	if table == nil {
-		g.writeOwn(ctx, reply{status: fasthttp.StatusServiceUnavailable, outcome: core.NotRun, reason: "no configuration yet", retryAfter: g.spread(retryAtOnce)})
+		g.log.Info("A call came before any configuration.", "ID", call.ID, "Received", received)
+		g.metrics.add("calls_without_configuration_total", 1)
+		g.writeOwn(ctx, reply{status: fasthttp.StatusServiceUnavailable, outcome: core.NotRun, reason: "no configuration yet", retryAfter: balance.AfterRecovery(call.Deadline, g.random())})
 		return nil
 	}
 	r := table.Find(call.Host, pathOf(call.Target))
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -22,6 +22,9 @@
 	silenceAfter = 3 * time.Second
 	// lostPause is how long a host is not asked after a call to it was lost.
 	lostPause = 2 * time.Second
+	// behindPause is how long a host is not asked that has an older configuration: about
+	// the time that a change takes to every host.
+	behindPause = 400 * time.Millisecond
 	// mateSilence is how long a host of the region may be silent before callers are
 	// no longer told of it: several pauses between two of its shares.
 	mateSilence    = 4
@@ -75,6 +78,13 @@
 	g.regions.Lost(now, region)
 }
 
+// behind notes that a host has an older configuration than this one.
+func (g *Gateway) behind(host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost[host] = g.clock.Now().Add(behindPause)
+}
+
 // silentMates returns the hosts of the region that have stopped to tell of their
 // load. When most of them have, the host itself is more likely cut off, and none is
 // returned.
