internal/balance: make the weights of the decisions one policy

Now each constant that weighs, and each mechanism that can be off, is a field of one immutable Policy, which a gateway's settings may give in part; unknown, absurd and contradictory fields are refused, all at once.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -24,6 +24,7 @@
 // Book is what a host believes of its region's targets. Its owner serialises
 // the calls.
 type Book struct {
+	policy  Policy
 	random  *rand.Rand
 	region  string
 	targets map[string]*target
@@ -44,10 +45,20 @@
 	at    time.Time
 }
 
+// BookOption changes a Book under construction.
+type BookOption func(*Book)
+
+// WithPolicy sets the weights of the choices.
+func WithPolicy(p Policy) BookOption { return func(b *Book) { b.policy = p.orDefault() } }
+
 // NewBook returns an empty Book for a region.
-func NewBook(region string, seed uint64) *Book {
-	return &Book{region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{},
+func NewBook(region string, seed uint64, options ...BookOption) *Book {
+	b := &Book{policy: DefaultPolicy(), region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, cold: map[string]float64{},
 		paces: map[string]*pace{}, fetches: map[string]*pace{}, prompted: map[string]bool{}, own: map[string]*serviceFlows{}, others: map[string]hostFlows{}}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // Configure takes the targets of a snapshot.
@@ -153,7 +164,7 @@
 func (b *Book) Choose(now time.Time, w Work, exclude []string) (Choice, bool) {
 	b.prompted[w.Service] = b.prompted[w.Service] || w.Tokens > 0
 	choices := b.serving(now, w.Service, exclude)
-	views := withFetches(w, b.views(now, w, choices))
+	views := b.policy.withFetches(w, b.views(now, w, choices))
 	least := w.Tokens
 	for _, v := range views {
 		least = min(least, v.unread)
@@ -164,7 +175,7 @@
 	bestCost := time.Duration(0)
 	consider := func(v *view, p Prediction) {
 		again := fromMilliseconds(float64(p.Unread-least) / v.effectiveRate(now))
-		cost := p.Total() + v.health.cost(now) + Scale(again, rereadWeight) + Scale(stallCost, p.Stalled)
+		cost := p.Total() + v.health.cost(now) + Scale(again, b.policy.RereadWeight) + b.policy.stallCost(p.Stalled)
 		if least > w.Tokens-sharedTokens(w) {
 			cost += b.firstRead(now, v.target, w, home)
 		}
@@ -254,7 +265,7 @@
 		return 0
 	}
 	if b.Coordinated() && t.ID != home && sharedTokens(w) >= minKeptTokens {
-		return Scale(fromMilliseconds(float64(sharedTokens(w))/t.effectiveRate(now)), rereadWeight)
+		return Scale(fromMilliseconds(float64(sharedTokens(w))/t.effectiveRate(now)), b.policy.RereadWeight)
 	}
 	return Scale(firstReadCost, 1-float64(partRank(t, w)>>11)/(1<<53))
 }
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -6,12 +6,6 @@
 )
 
 const (
-	// comfortShare is the part of the aim within which a call stays at home
-	// without a look at other regions.
-	comfortShare = 0.5
-	// keeperShare is the part of the aim within which the first byte must be expected
-	// from the region that keeps a call's parts.
-	keeperShare = 0.95
 	// awayGain is what sending away must save at least.
 	awayGain = 40 * time.Millisecond
 	// minWaitShare is the part of the aim that a call may always wait.
@@ -21,33 +15,11 @@
 	// returnShare is the part of its time left over which refused callers are told
 	// to come back.
 	returnShare = 0.25
-	// heededShare is the part of their time left for which callers stay away when they are
-	// told to.
-	heededShare = 1.0 / 3
 	// recoverySpread is the part of that over which those are spread that wait for a
 	// recovery.
 	recoverySpread = 0.4
 )
 
-// Shares of the longest good pause that the mean pause of a region may reach when
-// one more call comes. Beyond it the pauses that are longer than the mean make
-// streams late, and long streams do not end in time. More urgent calls find some
-// room kept.
-const (
-	urgentPauseShare = 0.6
-	pauseShare       = 0.4
-)
-
-// strained reports whether streams pause so long that a call of the work's rank
-// is better not begun.
-func strained(w Work, pause time.Duration) bool {
-	share := pauseShare
-	if w.Rank == 0 {
-		share = urgentPauseShare
-	}
-	return w.Gap > 0 && pause > Scale(w.Gap, share)
-}
-
 // Away is another region that may serve a call.
 type Away struct {
 	Region string
@@ -77,6 +49,7 @@
 
 // Question is what a decision depends on.
 type Question struct {
+	Policy Policy
 	// Local is the best target at home, if Here.
 	Local Choice
 	Here  bool
@@ -134,6 +107,7 @@
 // be in good time there, and goes away only where that saves something. What
 // would wait so long that calls of its size are late everywhere is refused.
 func Decide(q Question) Answer {
+	q.Policy = q.Policy.orDefault()
 	limit := q.limit()
 	if q.Begun && q.Here {
 		return Answer{Local: true, Reason: "what was begun goes on"}
@@ -145,9 +119,9 @@
 		return a
 	}
 	local := q.Local.Prediction
-	full := q.Here && strained(q.Work, q.Local.Pause)
+	full := q.Here && q.Policy.strained(q.Work, q.Local.Pause)
 	open := q.Here && !full
-	if open && (q.Aim == 0 || local.Total() <= Scale(q.Aim, comfortShare)) {
+	if open && (q.Aim == 0 || local.Total() <= Scale(q.Aim, q.Policy.ComfortShare)) {
 		return Answer{Local: true, Reason: "in good time"}
 	}
 	if away, ok := q.nearest(limit); ok && (!open || away.Total()+awayGain < local.Total()) {
@@ -167,7 +141,7 @@
 	case !q.Here && len(q.Away) == 0 && q.Opens > 0:
 		return Answer{RetryAfter: retryAfter(q, 0), Reason: "no target"}
 	case !q.Here && len(q.Away) == 0:
-		return Answer{RetryAfter: AfterRecovery(q.Left, q.Spread), Reason: "no target"}
+		return Answer{RetryAfter: q.Policy.AfterRecovery(q.Left, q.Spread), Reason: "no target"}
 	default:
 		return Answer{RetryAfter: retryAfter(q, limit), Reason: "the wait is too long"}
 	}
@@ -183,11 +157,11 @@
 
 // keeper sends a call to the region that keeps its parts.
 func (q Question) keeper() (Answer, bool) {
-	if q.Keeps && q.Here && !strained(q.Work, q.Local.Pause) && q.Local.Prediction.Total() <= Scale(q.Aim, keeperShare) {
+	if q.Keeps && q.Here && !q.Policy.strained(q.Work, q.Local.Pause) && q.Local.Prediction.Total() <= Scale(q.Aim, q.Policy.KeeperShare) {
 		return Answer{Local: true, Reason: "the region keeps its parts"}, true
 	}
 	for _, a := range q.Away {
-		if q.Here && a.Region == q.Keeper && !strained(q.Work, a.Pause) && a.Total() <= Scale(q.Aim, keeperShare) {
+		if q.Here && a.Region == q.Keeper && !q.Policy.strained(q.Work, a.Pause) && a.Total() <= Scale(q.Aim, q.Policy.KeeperShare) {
 			return Answer{Region: a.Region, Reason: "the region that keeps its parts"}, true
 		}
 	}
@@ -197,7 +171,7 @@
 // spill sends the region's share for other regions there.
 func (q Question) spill(limit time.Duration) (Answer, bool) {
 	a, ok := spillTo(q.Spill, q.Away, q.Work)
-	if !ok || !q.Here || strained(q.Work, a.Pause) || a.Wait > limit || a.Total() >= max(q.Aim, q.Local.Prediction.Total()) {
+	if !ok || !q.Here || q.Policy.strained(q.Work, a.Pause) || a.Wait > limit || a.Total() >= max(q.Aim, q.Local.Prediction.Total()) {
 		return Answer{}, false
 	}
 	return Answer{Region: a.Region, Reason: "the region's share for another one", Spilled: true}, true
@@ -211,7 +185,7 @@
 			best = a
 		}
 	}
-	return best, len(q.Away) > 0 && !strained(q.Work, best.Pause) && best.Wait <= limit && best.Total() < q.Left
+	return best, len(q.Away) > 0 && !q.Policy.strained(q.Work, best.Pause) && best.Wait <= limit && best.Total() < q.Left
 }
 
 // AfterRecovery is when a caller with the given time left is to come back to a host that
@@ -219,8 +193,8 @@
 // comes back in vain is mostly lost, and one that comes back late is only late; so it
 // is told the longest times that callers heed. Spread is a number from 0 to 1 that
 // differs from call to call.
-func AfterRecovery(left time.Duration, spread float64) time.Duration {
-	return max(minRetryAfter, Scale(left, heededShare*(1-recoverySpread*spread)))
+func (p Policy) AfterRecovery(left time.Duration, spread float64) time.Duration {
+	return max(minRetryAfter, Scale(left, p.orDefault().HeededShare*(1-recoverySpread*spread)))
 }
 
 // retryAfter is when the wait is expected to have fallen to half of the limit, and
--- a/internal/balance/kept.go
+++ b/internal/balance/kept.go
@@ -54,19 +54,19 @@
 
 // withFetches adds the ways to serve a call in which a target fetches what another one
 // keeps of the prompt, from the one that keeps the most.
-func withFetches(w Work, views []view) []view {
+func (p Policy) withFetches(w Work, views []view) []view {
 	var source *view
 	for i := range views {
 		if source == nil || views[i].kept > source.kept {
 			source = &views[i]
 		}
 	}
-	if source == nil || source.kept < minFetchTokens {
+	if source == nil || p.MinFetchTokens == 0 || source.kept < p.MinFetchTokens {
 		return views
 	}
 	out := views
 	for _, v := range views {
-		if fetched := v.unread - (w.Tokens - source.kept); v.ID != source.ID && fetched >= minFetchTokens {
+		if fetched := v.unread - (w.Tokens - source.kept); v.ID != source.ID && fetched >= p.MinFetchTokens {
 			v.source, v.fetched, v.unread = source.target, fetched, v.unread-fetched
 			out = append(out, v)
 		}
--- a/internal/balance/listing.go
+++ b/internal/balance/listing.go
@@ -20,6 +20,8 @@
 	// target is asked.
 	listPause    = 2 * time.Second
 	maxListTries = 3
+	// minListedTokens is the length of parts that are worth knowing of.
+	minListedTokens = 1000
 )
 
 // listing is how far a host is with the list of what a target keeps.
@@ -37,6 +39,9 @@
 
 // Unlisted returns the targets that the host is to ask now what they keep.
 func (b *Book) Unlisted(now time.Time) []catalogue.Target {
+	if !b.policy.ListKept {
+		return nil
+	}
 	var out []catalogue.Target
 	for _, t := range b.targets {
 		if t.listing.done || !b.prompted[t.Service] || t.listing.tries >= maxListTries {
@@ -62,7 +67,7 @@
 func (b *Book) Listed(now time.Time, id string, parts []Part) KeptList {
 	list := KeptList{Target: id}
 	for _, p := range parts {
-		if p.Tokens >= minFetchTokens {
+		if p.Tokens >= minListedTokens {
 			list.Parts = append(list.Parts, keyOf(p))
 		}
 	}
--- a/internal/balance/spill.go
+++ b/internal/balance/spill.go
@@ -7,9 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// SpillLevel is the part of its targets' capacity that a region uses before it
-// sends work away. Beyond it, prompts that are read hold up the streams that run
-// beside them.
+// SpillLevel is the part of its targets' capacity that a region uses before it sends
+// work away, by the default policy.
 const SpillLevel = 0.35
 
 // Flows are what one host, or the hosts of a region together, do for a service,
@@ -62,11 +61,14 @@
 	return best
 }
 
+// Spill returns the shares by the default policy.
+func Spill(home Basin, others []Basin) map[string]float64 { return DefaultPolicy().Spill(home, others) }
+
 // Spill returns the shares of the home region's work that go to other regions,
 // by region. All regions that know the same figures come to shares that fit
 // together: what overflows somewhere fills what is free elsewhere, up to a level
 // that is the same everywhere.
-func Spill(home Basin, others []Basin) map[string]float64 {
+func (p Policy) Spill(home Basin, others []Basin) map[string]float64 {
 	demand, capacity := home.Demand, home.Capacity
 	for _, b := range others {
 		demand += b.Demand
@@ -75,7 +77,7 @@
 	if capacity <= 0 || home.Demand <= 0 {
 		return nil
 	}
-	level := max(SpillLevel, demand/capacity)
+	level := max(p.orDefault().SpillLevel, demand/capacity)
 	over := max(0, home.Demand-level*home.Capacity)
 	free := 0.0
 	for _, b := range others {
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -70,18 +70,10 @@
 	partAge = 30 * time.Second
 	// maxParts bounds the parts that are remembered for a target.
 	maxParts = 4096
-	// rereadWeight is what reading a part once more costs that another target
-	// keeps, beyond its time and in multiples of it.
-	rereadWeight = 10.0
 	// initialFetchRate is the tokens that one target fetches from another in a
 	// millisecond before it was seen.
 	initialFetchRate = 150.0
 	maxFetchRate     = 2000.0
-	// minFetchTokens is the least that is worth fetching.
-	minFetchTokens = 1000
-	// stallCost is what a pause that is too long costs for each stream that runs
-	// at the target, as a predicted time.
-	stallCost = 600 * time.Millisecond
 	// stallFrom and stallFull are the parts of what a target reads in the longest
 	// good pause at which streams begin to stall, and surely do.
 	stallFrom = 0.25
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,8 +110,6 @@
 }
 
 const (
-	// heldShare is the part of a call's aim for which it may be held back in all.
-	heldShare = 0.4
 	// holdSpread keeps calls apart that are held until the same moment, so that each
 	// learns what the one before has begun.
 	holdSpread = 12 * time.Millisecond
@@ -126,7 +124,7 @@
 	case <-f.g.clock.After(d + time.Duration(f.g.random()*float64(holdSpread))):
 	}
 	f.held += f.g.clock.Now().Sub(began)
-	f.work.Pressed = f.held >= balance.Scale(f.route.Aim, heldShare)
+	f.work.Pressed = f.held >= balance.Scale(f.route.Aim, f.g.settings.Policy.HoldShare)
 }
 
 // result tells how a send without an answer for the caller ended.
@@ -175,7 +173,8 @@
 func (f *flight) weigh() (balance.Question, balance.Answer) {
 	now := f.g.clock.Now()
 	q := balance.Question{
-		Aim: max(0, f.route.Aim-now.Sub(f.began)), Left: f.deadline.Sub(now), Work: f.work,
+		Policy: f.g.settings.Policy,
+		Aim:    max(0, f.route.Aim-now.Sub(f.began)), Left: f.deadline.Sub(now), Work: f.work,
 		Typical: f.g.typical(f.route.Name), Spread: f.g.random(), Begun: f.maybe,
 	}
 	if f.maybe {
@@ -198,7 +197,7 @@
 	}
 	if q.Here && len(q.Away) > 0 {
 		home, others := f.g.book.Basin(now, f.service), f.g.regions.Basins(now, q.Away, f.service)
-		q.Spill = balance.Spill(home, others)
+		q.Spill = f.g.settings.Policy.Spill(home, others)
 		q = q.WithKeeper(balance.Keeper(f.work, append(others, home)), f.g.settings.Region)
 	}
 	return q, balance.Decide(q)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,6 +147,9 @@
 
 // New returns a Gateway that listens, but does not serve yet.
 func New(s Settings, adapters Adapters, options ...Option) (*Gateway, error) {
+	if s.Policy == (balance.Policy{}) {
+		s.Policy = balance.DefaultPolicy()
+	}
 	host, _, err := net.SplitHostPort(s.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
@@ -155,7 +158,7 @@
 		settings: s, protocol: adapters.Protocol, wordPatience: defaultWordPatience, clock: clock.System{}, log: logr.Discard(), network: link.NewSystem(host),
 		sealer: seal.New(s.FleetKeys...), hangups: hangup.NewWatch(), metrics: newMetrics(),
 		suspects: ring.New[suspicion](maxSuspects), news: ring.New[catalogue.News](maxNews),
-		book: balance.NewBook(s.Region, rand.Uint64()), regions: balance.NewRegions(),
+		book: balance.NewBook(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicals: map[string]time.Duration{},
 		register: quarantine.NewRegister(quarantine.WithDeaths(deathsToQuarantine)),
 		lost:     map[string]time.Time{}, heard: map[string]hearing{}, regionsHeard: map[string]time.Time{}, askings: map[uint64]asking{},
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
 	"github.com/sequoiarack/sequoiarack/internal/settings"
 )
@@ -48,6 +49,8 @@
 	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
 	// DirectoryTTLSeconds is how long callers may keep an answer of the directory.
 	DirectoryTTLSeconds float64 `json:"DirectoryTTLSeconds"`
+	// Policy is the weights of the decisions; what it does not give is as by default.
+	Policy balance.Policy `json:"Policy"`
 	// LogLevel is 0 for the usual messages and 1 for more.
 	LogLevel int `json:"LogLevel,omitempty"`
 }
@@ -69,7 +72,7 @@
 	if err != nil {
 		return Settings{}, failure.Wrap(op, settings.Unreadable, err)
 	}
-	var s Settings
+	s := Settings{Policy: balance.DefaultPolicy()}
 	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&s); err != nil {
 		return Settings{}, failure.Wrap(op, settings.Malformed, err)
 	}
@@ -106,5 +109,5 @@
 	require(s.RetryWindowSeconds > 0, "RetryWindowSeconds", "expected positive seconds, got %g", s.RetryWindowSeconds)
 	require(s.DirectoryTTLSeconds > 0, "DirectoryTTLSeconds", "expected positive seconds, got %g", s.DirectoryTTLSeconds)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
-	return problems
+	return append(problems, s.Policy.Check("Policy")...)
 }
