--- a/cmd/sequoiarack/cmd/root.go
+++ b/cmd/sequoiarack/cmd/root.go
@@ -66,7 +66,7 @@
 	return &ffcli.Command{
 		Name: "sequoiarack", ShortUsage: "sequoiarack <command> [flags]", LongHelp: longHelp, FlagSet: set,
 		Subcommands: []*ffcli.Command{
-			newServe(e), newGateway(e), newDemo(e), newConfig(e), newHosts(e), newTargets(e), newDump(e), newDrain(e), newCheck(e), newTrace(e),
+			newServe(e), newGateway(e), newDemo(e), newConfig(e), newHosts(e), newTargets(e), newDump(e), newDrain(e), newCheck(e), newTrace(e), newReasons(e),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
