--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -356,6 +356,35 @@
 	})
 })
 
+var _ = Describe("the demand of a region", func() {
+	// fill has streams run at the targets, whose prompts were short and are read.
+	fill := func(b *balance.Book, streams int) {
+		for i := range streams {
+			f := b.Begin(start, fmt.Sprintf("t%02d", i%4), prompt(300))
+			b.First(start, f)
+		}
+	}
+
+	It("is what its prompts ask for while slots are free", func() {
+		b := book(4)
+		fill(b, 20)
+		few := b.Basin(start, service).Demand
+		fill(b, 20)
+		Expect(b.Basin(start, service).Demand).To(BeNumerically("~", 2*few, few/100))
+	})
+
+	It("is as much as the slots that its streams hold, in a burst of short prompts with long answers", func() {
+		b := book(4)
+		fill(b, 4*64)
+		later := start.Add(5 * time.Second) // the streams still run, few calls come
+		b.First(later, b.Begin(later, "t00", prompt(300)))
+		basin := b.Basin(later, service)
+		Expect(basin.Demand / basin.Capacity).To(BeNumerically("~", 0.5, 0.01))
+		others := []balance.Basin{{Region: "south", Demand: 0, Capacity: basin.Capacity}}
+		Expect(balance.Spill(basin, others)).To(HaveKey("south"))
+	})
+})
+
 var _ = Describe("the shares that regions send away", func() {
 	It("fill what is free elsewhere at antiphase peaks, and nothing goes to a full region", func() {
 		peak := balance.Basin{Region: "north", Demand: 900, Capacity: 1000}
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -49,7 +49,7 @@
 // DefaultPolicy returns the policy that hosts have without a setting.
 func DefaultPolicy() Policy {
 	return Policy{
-		RereadWeight: 10, StallCostMs: 600, HoldShare: 0.4, MinFetchTokens: 1000, ListKept: true, ComfortShare: 0.5, KeeperShare: 0.95,
+		RereadWeight: 4, StallCostMs: 600, HoldShare: 0.4, MinFetchTokens: 1000, ListKept: true, ComfortShare: 0.5, KeeperShare: 0.95,
 		SpillLevel: SpillLevel, UrgentPauseShare: 0.6, PauseShare: 0.4, HeededShare: 1.0 / 3,
 	}
 }
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -65,15 +65,26 @@
 // unreadShare is the part of a prompt that targets usually have to read.
 const unreadShare = 0.7
 
+// slotLevel is the part of its capacity that a region is taken to use whose targets have
+// all their slots in use. Streams hold slots long after their prompts are read.
+const slotLevel = 0.5
+
 // Basin returns the region's demand and capacity for a service.
 func (b *Book) Basin(now time.Time, service string) Basin {
-	out := Basin{Region: b.region, Demand: b.regionFlows(now, service).Demand()}
+	flows := b.regionFlows(now, service)
+	out := Basin{Region: b.region, Demand: flows.Demand()}
+	flights, slots := 0, 0
 	for _, t := range b.services[service] {
 		if b.usable(now, t) && !t.health.out(now) {
 			out.Capacity += t.capacity()
 			out.Targets++
+			flights += t.flights(now)
+			slots += max(1, t.Slots)
 		}
 	}
+	if used := slotLevel * out.Capacity * float64(flights) / float64(max(1, slots)); flows.Begun > 0 && used > flows.Begun {
+		out.Demand *= used / flows.Begun
+	}
 	return out
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -22,6 +22,10 @@
 	// are thin. Each host tells one host of each other region in turn.
 	awayPause       = 375 * time.Millisecond
 	shareBufferSize = 64 << 10
+	// startPause is the pause between two words to other regions for as long as startSpan
+	// after the start: until they have come, a host takes no region for live.
+	startPause = 100 * time.Millisecond
+	startSpan  = 2 * time.Second
 )
 
 // shareMessage is a datagram between hosts, in CBOR and sealed.
@@ -44,21 +48,29 @@
 
 // sendShares is the duty that tells other hosts of the load.
 func (g *Gateway) sendShares(ctx context.Context) error {
-	var away time.Time
+	var here, away time.Time
 	for {
 		g.updateHosts()
 		mates := g.mates()
 		now := g.clock.Now()
-		g.shareHere(now, mates)
-		g.repeatChanges(now)
-		if now.Sub(away) >= awayPause {
+		pause := sharePause(len(mates))
+		if now.Sub(here) >= pause {
+			here = now
+			g.shareHere(now, mates)
+			g.repeatChanges(now)
+		}
+		starts := now.Sub(g.started) < startSpan
+		if starts || now.Sub(away) >= awayPause {
 			away = now
 			g.shareAway(now)
 		}
+		if starts {
+			pause = startPause
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-g.clock.After(sharePause(len(mates))):
+		case <-g.clock.After(pause):
 		}
 	}
 }
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -294,6 +294,7 @@
 
 // Run is the duty that owns the table and the board, until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
+	started := s.clock.Now()
 	tick := s.clock.After(0)
 	for {
 		select {
@@ -313,7 +314,7 @@
 			s.leave()
 		case <-tick:
 			s.tick()
-			tick = s.clock.After(member.HeartbeatInterval)
+			tick = s.clock.After(member.Interval(s.clock.Now().Sub(started)))
 		}
 	}
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -193,3 +193,11 @@
 		Expect(err).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("the heartbeats of a host", func() {
+	It("come sooner while it has just started, as others may start at the same moment", func() {
+		Expect(member.Interval(0)).To(BeNumerically("<=", member.HeartbeatInterval/4))
+		Expect(member.Interval(time.Second)).To(Equal(member.Interval(0)))
+		Expect(member.Interval(10 * time.Second)).To(Equal(member.HeartbeatInterval))
+	})
+})
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,11 +15,15 @@
 // Intervals of the protocol.
 const (
 	HeartbeatInterval = 500 * time.Millisecond
-	suspectAfter      = 1600 * time.Millisecond // without a heartbeat, at a monitor
-	firstBeatWithin   = 6 * time.Second         // of becoming a monitor
-	goneAfter         = 10 * time.Second        // as a suspect
-	forgetAfter       = 60 * time.Second        // as gone
-	cutAfter          = 8 * time.Second         // without word of a data centre
+	// startInterval is the interval for as long as startSpan after a host's start, when
+	// the hosts that it greets may be starting as well.
+	startInterval   = 100 * time.Millisecond
+	startSpan       = 2 * time.Second
+	suspectAfter    = 1600 * time.Millisecond // without a heartbeat, at a monitor
+	firstBeatWithin = 6 * time.Second         // of becoming a monitor
+	goneAfter       = 10 * time.Second        // as a suspect
+	forgetAfter     = 60 * time.Second        // as gone
+	cutAfter        = 8 * time.Second         // without word of a data centre
 )
 
 const delegatesPerDataCentre = 2
@@ -319,3 +323,11 @@
 	heard, ok := t.centres[centre]
 	return ok && now.Sub(heard) > cutAfter
 }
+
+// Interval is the time between two heartbeats of a host that has run for the given time.
+func Interval(age time.Duration) time.Duration {
+	if age < startSpan {
+		return startInterval
+	}
+	return HeartbeatInterval
+}
