internal/balance: take a target for dark when all its streams go silent

A host learned it from three calls in a row that ended unanswered, each after a third of its time, while its streams there had been silent all along; the silence before a stream broke off also counted as a pause and made the region refuse calls.

Change: a target is used only where no other is once all streams that a host has there, two at least, have brought nothing for 800 ms, and is ejected when a call ends in that silence; silence before a break is no pause.

--- a/internal/balance/book.go
+++ b/internal/balance/book.go
@@ -302,7 +302,7 @@
 		case !b.usable(now, t):
 		case slices.Contains(exclude, t.ID):
 			excluded = append(excluded, t)
-		case t.health.out(now), t.spared(now):
+		case t.health.out(now), t.spared(now), t.dark(now):
 			ejected = append(ejected, t)
 		default:
 			good = append(good, t)
@@ -323,6 +323,7 @@
 	target  *target
 	work    Work
 	began   time.Time
+	eventAt time.Time // when the last event came after the first one, zero before
 	unread  int
 	fetched int
 	ahead   float64
@@ -372,6 +373,7 @@
 // Event notes a pause between two events of a stream.
 func (b *Book) Event(now time.Time, f *Flight, pause time.Duration) {
 	if f != nil {
+		f.eventAt = now
 		f.target.pauses.add(now, pause)
 	}
 }
@@ -392,9 +394,13 @@
 		return
 	}
 	f.ended = true
+	dark := r == Silent && f.target.dark(now)
 	delete(f.target.flying, f)
 	f.target.noteSpell(now)
 	f.target.health.note(now, r)
+	if dark && !f.target.health.out(now) {
+		f.target.health.eject(now)
+	}
 	if r == Answered {
 		f.target.learnEnd(now.Sub(f.began))
 	}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -75,12 +75,16 @@
 	h.faults += learnShare * (1 - h.faults)
 	h.inRow++
 	if r == Unreached || h.inRow > toleratedFaults {
-		pause := min(firstEjection<<min(h.ejections, 8), maxEjection)
-		h.ejections++
-		h.ejectedUntil = now.Add(pause)
+		h.eject(now)
 	}
 }
 
+// eject leaves the target out for a while, each time for twice as long.
+func (h *health) eject(now time.Time) {
+	h.ejectedUntil = now.Add(min(firstEjection<<min(h.ejections, 8), maxEjection))
+	h.ejections++
+}
+
 func (h *health) out(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
 // share is the part of the target's calls that failed lately.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -215,7 +215,9 @@
 	began := r.f.g.clock.Now()
 	event, err := r.s.stream.next()
 	pause := r.f.g.clock.Now().Sub(began)
-	r.s.try.event(pause)
+	if err == nil || isEnd(err) {
+		r.s.try.event(pause) // silence before a stream breaks off is no pause of it
+	}
 	r.f.longestPause = max(r.f.longestPause, pause)
 	for err != nil && !isEnd(err) {
 		r.f.note("stream of %s after event %q: %v", r.s.target, r.s.stream.last, err)
