internal/balance: name what a refusal is about, and read cases in one place

After a reading as a newcomer: a type had the name of a local one elsewhere, and two tests read their cases each by a loop of its own. No decision changes.

--- a/internal/balance/dark.go
+++ b/internal/balance/dark.go
@@ -4,7 +4,7 @@
 
 // A target that goes dark takes calls and answers none of them, and a caller that waits
 // for it learns that only when its time is over. But a target serves many streams at a
-// time: one of which all go silent at the same moment is more likely dark than slow.
+// time, and when all of them go silent it is more likely dark than slow.
 
 const (
 	// darkAfter is how long nothing comes on any stream of a target that is taken for dark:
--- a/internal/balance/kept_test.go
+++ b/internal/balance/kept_test.go
@@ -1,8 +1,6 @@
 package balance_test
 
 import (
-	"encoding/json"
-	"os"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -49,18 +47,6 @@
 	Steps   []keptStep
 }
 
-func readKeptCases() []keptCase {
-	data, err := os.ReadFile("testdata/kept.json")
-	if err != nil {
-		panic(err)
-	}
-	var cases []keptCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
-	return cases
-}
-
 // keptRun is two hosts of a region, the second of which is told by the first.
 type keptRun struct {
 	now        time.Time
@@ -142,7 +128,7 @@
 }
 
 var _ = Describe("what targets keep of prompts", func() {
-	for _, c := range readKeptCases() {
+	for _, c := range readCases[keptCase]("testdata/kept.json") {
 		It(c.Name, func() {
 			r := &keptRun{now: start, book: book(c.Targets), mate: book(c.Targets)}
 			for _, s := range c.Steps {
--- a/internal/balance/policy_test.go
+++ b/internal/balance/policy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,20 +17,8 @@
 	Unreadable bool
 }
 
-func readPolicyCases() []policyCase {
-	data, err := os.ReadFile("testdata/policies.json")
-	if err != nil {
-		panic(err)
-	}
-	var cases []policyCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
-	return cases
-}
-
 var _ = Describe("a policy", func() {
-	for _, c := range readPolicyCases() {
+	for _, c := range readCases[policyCase]("testdata/policies.json") {
 		It("is checked: "+c.Name, func() {
 			p := balance.DefaultPolicy()
 			err := json.Unmarshal(c.Policy, &p)
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -32,18 +32,18 @@
 	at       time.Time
 	trip     time.Duration
 	sent     []sentWork
-	out      time.Time            // not asked before
-	refused  map[ranked]time.Time // calls for which it is not asked before
+	out      time.Time              // not asked before
+	refused  map[callSort]time.Time // calls for which it is not asked before
 }
 
-// ranked is the calls of one rank for a service. More urgent calls go before the others
+// callSort is the calls of one rank for a service. More urgent calls go before the others
 // at targets, so that a refusal of one sort says nothing of another.
-type ranked struct {
+type callSort struct {
 	service string
 	rank    int
 }
 
-func rankedOf(w Work) ranked { return ranked{service: w.Service, rank: min(w.Rank, ranksTold-1)} }
+func sortOf(w Work) callSort { return callSort{service: w.Service, rank: min(w.Rank, ranksTold-1)} }
 
 type sentWork struct {
 	at      time.Time
@@ -57,7 +57,7 @@
 func (r *Regions) view(region string) *regionView {
 	v := r.regions[region]
 	if v == nil {
-		v = &regionView{trip: initialTrip, refused: map[ranked]time.Time{}}
+		v = &regionView{trip: initialTrip, refused: map[callSort]time.Time{}}
 		r.regions[region] = v
 	}
 	return v
@@ -87,7 +87,7 @@
 
 // RefusedBy notes that a region has refused a call.
 func (r *Regions) RefusedBy(now time.Time, region string, w Work) {
-	r.view(region).refused[rankedOf(w)] = now.Add(pauseAfterRefusal)
+	r.view(region).refused[sortOf(w)] = now.Add(pauseAfterRefusal)
 }
 
 // Options returns the regions that may be asked for a call. A region that is
@@ -96,7 +96,7 @@
 	var out []Away
 	for _, region := range live {
 		v := r.view(region)
-		if now.Before(v.out) || now.Before(v.refused[rankedOf(w)]) {
+		if now.Before(v.out) || now.Before(v.refused[sortOf(w)]) {
 			continue
 		}
 		if now.Sub(v.at) > stateAge {
--- a/internal/balance/suite_test.go
+++ b/internal/balance/suite_test.go
@@ -1,6 +1,8 @@
 package balance_test
 
 import (
+	"encoding/json"
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,3 +13,17 @@
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Balance")
 }
+
+// readCases reads the cases of a scripted test. It panics, as cases are read before the
+// suite runs.
+func readCases[T any](path string) []T {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		panic(err)
+	}
+	var cases []T
+	if err := json.Unmarshal(data, &cases); err != nil {
+		panic(err)
+	}
+	return cases
+}
