platform, internal/gateway, internal/balance: record the limits that targets state

Hosts now read the header, with and without the system's prefix, and log each change with the value before and its age. Metrics count statements and the sends to limited targets by kind (first, repeat, forwarded, list), and the state dump shows the limit. An invalid value leaves the last valid one in force, with a log line like that of other headers.

No decision depends on it yet.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -182,17 +182,25 @@
 	Backlog    int
 	Rate       float64
 	FaultRate  float64
+	// LimitPerSecond is the limit that the target states, nil if it states none, and
+	// LimitAgeMs the age of that statement.
+	LimitPerSecond *float64 `json:",omitempty"`
+	LimitAgeMs     int64    `json:",omitempty"`
 }
 
 // Dump returns the host's state of its region's targets, ordered by ID.
 func (b *Balancer) Dump(now time.Time) []TargetDump {
 	out := make([]TargetDump, 0, len(b.targets))
 	for _, t := range b.targets {
-		out = append(out, TargetDump{
+		d := TargetDump{
 			ID: t.ID, Service: t.Service, Address: t.Address, State: t.State.String(), Cold: now.Before(t.ColdUntil),
 			Usable: b.usable(now, t), Ejected: t.health.ejected(now), BackingOff: t.backsOff(now) || t.peersBackOff(now), Flights: t.flightCount(now),
 			Backlog: int(t.backlog(now, priorityClasses)), Rate: t.rate(), FaultRate: t.health.failureRate(now),
-		})
+		}
+		if t.limit.Limited {
+			d.LimitPerSecond, d.LimitAgeMs = &t.limit.PerSecond, now.Sub(t.limit.at).Milliseconds()
+		}
+		out = append(out, d)
 	}
 	slices.SortFunc(out, func(x, y TargetDump) int { return cmp.Compare(x.ID, y.ID) })
 	return out
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -37,6 +37,7 @@
 	// nothing, and peerBackoffUntil that for any other host.
 	backoffUntil     time.Time
 	peerBackoffUntil time.Time
+	limit            limitRecord
 	listing          listing
 	hash             uint64 // of the ID
 	assigned         assignment
@@ -103,6 +104,7 @@
 	t.listing = listing{done: true} // the host sees all that a new process caches from its start
 	t.load, t.loadAt = Load{}, time.Time{}
 	t.backoffUntil, t.peerBackoffUntil = time.Time{}, time.Time{}
+	t.limit = limitRecord{}
 }
 
 // flightCount returns the number of calls of all hosts at the target.
--- a/internal/gateway/cachelist.go
+++ b/internal/gateway/cachelist.go
@@ -70,6 +70,9 @@
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetHost(t.Address)
 	request.Header.SetRequestURI(g.protocol.CacheListPath())
+	g.mu.Lock()
+	g.countLimitedSend(t.ID, "list")
+	g.mu.Unlock()
 	response, err := g.targetPool.Do(ctx, t.Address, request)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -56,6 +56,9 @@
 	Leaving bool
 	// RetryAfter is how long the target asks this host to send it nothing, 0 for no backoff.
 	RetryAfter time.Duration
+	// Limit is what the target says about its limit on calls, nil if the response says
+	// nothing valid.
+	Limit *balance.LimitStatement
 	// InvalidHeaders are the headers with an invalid value, as "name: value".
 	InvalidHeaders []string
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -157,6 +157,7 @@
 	a.choice = choice
 	c.gateway.mu.Lock()
 	a.flight = c.gateway.balancer.Begin(c.gateway.clock.Now(), target.ID, c.work, balance.WithFetch(choice.Fetched))
+	c.gateway.countLimitedSend(target.ID, c.sendKind())
 	c.gateway.mu.Unlock()
 	c.gateway.sendChange(target.ID, c.work)
 	c.triedTargets = append(c.triedTargets, target.ID)
@@ -171,6 +172,18 @@
 	return a.readTargetResponse(response)
 }
 
+// sendKind returns the kind of the next send of the call, for metrics.
+func (c *activeCall) sendKind() string {
+	switch {
+	case c.fromPeer:
+		return "forwarded"
+	case c.attempts+c.refusals > 0:
+		return "repeat"
+	default:
+		return "first"
+	}
+}
+
 // chargeRetryBudget reports whether the retry budget allows another attempt, and charges it.
 // The first attempt of a call is always allowed, and adds to the budget.
 func (c *activeCall) chargeRetryBudget() bool {
