internal/balance: separate the token bucket from the budget of retries

Limits of targets need the same bucket: whole tokens that expire soon, for bounds that give a host less than one send in a while.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// ratioShare and slackShare are the shares of the fleet's budget that the hosts use
@@ -28,9 +25,8 @@
 	slack  float64 // of the whole fleet
 	window time.Duration
 	hosts  int
-	// fraction is the part of the next token that has accumulated.
-	fraction   float64
-	expiries   []time.Time // of the available tokens, oldest first
+	tokens tokenBucket
+	// refilledAt is when the host's share of the slack was last added.
 	refilledAt time.Time
 }
 
@@ -39,7 +35,7 @@
 // Phase is a number from 0 to 1 that differs from host to host.
 func NewRetryBudget(since time.Time, ratio, slack float64, window time.Duration, phase float64) *RetryBudget {
 	return &RetryBudget{
-		ratio: ratio * ratioShare, slack: slack * slackShare, window: window, hosts: 1, fraction: phase,
+		ratio: ratio * ratioShare, slack: slack * slackShare, window: window, hosts: 1, tokens: tokenBucket{fraction: phase},
 		refilledAt: since.Add(-time.Duration(float64(window) * initialShare)),
 	}
 }
@@ -51,25 +47,20 @@
 	if n <= b.hosts {
 		return
 	}
-	b.expiries = b.expiries[len(b.expiries)-len(b.expiries)*b.hosts/n:]
+	b.tokens.keep(b.hosts, n)
 	b.hosts = n
 }
 
-// refill adds the host's share of the slack and drops expired tokens.
+// refill adds the host's share of the slack.
 func (b *RetryBudget) refill(now time.Time) {
 	b.add(now, b.slack/float64(b.hosts)*float64(now.Sub(b.refilledAt))/float64(b.window))
 	b.refilledAt = now
-	b.expiries = slices.DeleteFunc(b.expiries, func(end time.Time) bool { return !now.Before(end) })
 }
 
 // add adds a fraction of a token. An amount above what a host gets in the lifetime of a
 // token is dropped.
 func (b *RetryBudget) add(now time.Time, fraction float64) {
-	ttl := time.Duration(float64(b.window) * tokenTTLShare)
-	b.fraction += min(fraction, max(1, b.slack/float64(b.hosts)*tokenTTLShare))
-	for ; b.fraction >= 1; b.fraction-- {
-		b.expiries = append(b.expiries, now.Add(ttl))
-	}
+	b.tokens.add(now, min(fraction, max(1, b.slack/float64(b.hosts)*tokenTTLShare)), Scale(b.window, tokenTTLShare))
 }
 
 // Deposit records the first send of a call.
@@ -81,15 +72,11 @@
 // Available returns how many sends are allowed now.
 func (b *RetryBudget) Available(now time.Time) int {
 	b.refill(now)
-	return len(b.expiries)
+	return b.tokens.count(now)
 }
 
 // TryWithdraw reports whether one more send is allowed, and counts it.
 func (b *RetryBudget) TryWithdraw(now time.Time) bool {
 	b.refill(now)
-	if len(b.expiries) == 0 {
-		return false
-	}
-	b.expiries = b.expiries[1:]
-	return true
+	return b.tokens.take(now)
 }
