--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -31,21 +31,22 @@
 // the loads received in time. In a small region, targets have no coordinators.
 func (c *activeCall) queryCoordinators() {
 	g := c.gateway
-	query, ownLoads := g.prepareLoadQuery(c)
+	targetsByHost, ownLoads := g.coordinators(c)
 	c.work.Loads = ownLoads
-	if len(query.targets) == 0 {
+	if len(targetsByHost) == 0 {
 		return
 	}
-	defer g.removeQuery(query.id)
-	for host, targets := range query.targets {
+	id, loads := g.loadReplies.expect(len(targetsByHost))
+	defer g.loadReplies.forget(id)
+	for host, targets := range targetsByHost {
 		g.sendMessage(peerMessage{LoadQuery: &loadQuery{
-			ID: query.id, Service: c.work.Service, Priority: c.work.Priority, Tokens: c.work.Tokens, Parts: c.work.Parts, Targets: targets,
+			ID: id, Service: c.work.Service, Priority: c.work.Priority, Tokens: c.work.Tokens, Parts: c.work.Parts, Targets: targets,
 		}}, g.membersByName([]string{host}))
 	}
 	timeout := g.clock.After(g.coordinatorTimeout)
-	for range query.targets {
+	for range targetsByHost {
 		select {
-		case r := <-query.replies:
+		case r := <-loads:
 			maps.Copy(c.work.Loads, r.Loads)
 		case <-timeout:
 			g.metrics.add("words_late_total", 1)
@@ -56,44 +57,25 @@
 	}
 }
 
-// pendingQuery is a load query whose replies are outstanding.
-type pendingQuery struct {
-	id      uint64
-	targets map[string][]string // by coordinator
-	replies chan loadReply
-}
-
-// prepareLoadQuery registers a load query for the candidate targets of a call. It returns the
-// loads of those targets that this host coordinates itself.
-func (g *Gateway) prepareLoadQuery(c *activeCall) (pendingQuery, map[string]balance.TargetLoad) {
+// coordinators returns the candidate targets of a call by their coordinators, and the loads of
+// those that this host coordinates itself.
+func (g *Gateway) coordinators(c *activeCall) (map[string][]string, map[string]balance.TargetLoad) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	query := pendingQuery{targets: map[string][]string{}}
 	if !g.balancer.Coordinated() {
-		return query, nil
+		return nil, nil
 	}
 	now := g.clock.Now()
-	ownLoads := map[string]balance.TargetLoad{}
+	targets, ownLoads := map[string][]string{}, map[string]balance.TargetLoad{}
 	for _, id := range g.balancer.Candidates(now, c.work, c.triedTargets) {
 		host := g.balancer.CoordinatorOf(id)
 		if host != g.settings.Host {
-			query.targets[host] = append(query.targets[host], id)
+			targets[host] = append(targets[host], id)
 		} else if load, ok := g.balancer.LoadOf(now, id, c.work); ok {
 			ownLoads[id] = load
 		}
 	}
-	if len(query.targets) > 0 {
-		g.lastQueryID++
-		query.id, query.replies = g.lastQueryID, make(chan loadReply, len(query.targets))
-		g.pendingQueries[query.id] = query
-	}
-	return query, ownLoads
-}
-
-func (g *Gateway) removeQuery(id uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.pendingQueries, id)
+	return targets, ownLoads
 }
 
 // answerLoadQuery sends a host the loads of the targets in its query.
@@ -111,18 +93,6 @@
 	g.sendMessage(peerMessage{LoadReply: &reply}, g.membersByName([]string{host}))
 }
 
-// deliverLoadReply passes a load reply to the call that waits for it. Late replies are dropped.
-func (g *Gateway) deliverLoadReply(r loadReply) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if query, ok := g.pendingQueries[r.ID]; ok {
-		select {
-		case query.replies <- r:
-		default: // a duplicate
-		}
-	}
-}
-
 // sendChange sends this host's load at a target to the hosts that track it: after a call
 // with the given work has started there, or with empty work after any other change.
 func (g *Gateway) sendChange(id string, w balance.Work) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,9 +117,7 @@
 	regionLastSeen map[string]time.Time
 	rng            *rand.Rand
 
-	lastQueryID    uint64 // of load queries to coordinators
-	pendingQueries map[uint64]pendingQuery
-
+	loadReplies      replies[loadReply]
 	messageAddresses sync.Map // *net.UDPAddr by peer address
 	storeReaders     atomic.Pointer[storeReaders]
 	leaving          atomic.Bool
@@ -169,7 +167,7 @@
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
-		avoidUntil: map[string]time.Time{}, lastMessages: map[string]messageStamp{}, regionLastSeen: map[string]time.Time{}, pendingQueries: map[uint64]pendingQuery{},
+		avoidUntil: map[string]time.Time{}, lastMessages: map[string]messageStamp{}, regionLastSeen: map[string]time.Time{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -192,7 +192,7 @@
 	case m.LoadQuery != nil:
 		g.answerLoadQuery(m.Host, *m.LoadQuery)
 	case m.LoadReply != nil:
-		g.deliverLoadReply(*m.LoadReply)
+		g.loadReplies.deliver(m.LoadReply.ID, *m.LoadReply)
 	default:
 		g.applyMessage(m)
 	}
