internal/balance, internal/gateway: share the limit that a target states between all hosts

A target in need went on getting as many calls as its neighbours.

Cause: no host read the statement, and there was no means by which hosts keep a bound on a target together: what a target says stayed with the host that heard it. Ruled out: a bound that each host keeps alone (2 hosts would have sent 10), and sends of one kind that pass the bound by (all six engines of the region got the same share of all calls).

Change: a statement belongs to the region. A host that hears one tells the others; statements are ordered by when their calls were sent and answered, and of two whose order is unknown the stricter is in force. Each host has an equal share of the limit. In touch, hosts lend their shares to the host that the target is assigned to, and ask it before each send; it grants calls at the rate of the shares that it holds, urgent calls first. Loans expire by the steady clock, later at the lender than at the borrower, so that hosts which are cut off keep the limit together. All sends pass the same gate: first ones, repeats, resumed streams, forwarded calls, lists of cached parts. A target without room is passed over; its capacity counts in what regions tell one another; if nothing else is there, the call is refused at once with a Retry-After from the rates.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -17,6 +17,9 @@
 	Live []string
 	// Known is the number of hosts of the region, including unreachable ones.
 	Known int
+	// Sharers is the number of hosts that may be sending to the region's targets: all except
+	// those that have left. Lost ones count until they are forgotten.
+	Sharers int
 	// Settled reports that the host has run long enough to have discovered the others.
 	Settled bool
 }
@@ -37,6 +40,11 @@
 	promptServices map[string]bool // services whose calls have prompts
 	ownFlows       map[string]*serviceFlows
 	peerFlows      map[string]hostFlows // by host of the region
+	workPerCall    map[string]float64   // mean work of a call in the units of Flows, by service
+	// formerLimits are the limits of targets that are gone, by incarnation. A target may come
+	// back without a restart, for example from an evacuated data centre.
+	formerLimits map[string]limitRecord
+	limitQueues  map[string]time.Time // by service, see QueueForLimit
 }
 
 // hostFlows are the flows that another host has reported.
@@ -54,7 +62,8 @@
 // NewBalancer returns a Balancer without targets for a region.
 func NewBalancer(region string, seed uint64, options ...Option) *Balancer {
 	b := &Balancer{policy: DefaultPolicy(), region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, coldRates: map[string]float64{},
-		readRates: map[string]*rateEstimate{}, fetchRates: map[string]*rateEstimate{}, promptServices: map[string]bool{}, ownFlows: map[string]*serviceFlows{}, peerFlows: map[string]hostFlows{}}
+		readRates: map[string]*rateEstimate{}, fetchRates: map[string]*rateEstimate{}, promptServices: map[string]bool{}, ownFlows: map[string]*serviceFlows{}, peerFlows: map[string]hostFlows{},
+		workPerCall: map[string]float64{}, formerLimits: map[string]limitRecord{}, limitQueues: map[string]time.Time{}}
 	for _, option := range options {
 		option(b)
 	}
@@ -73,6 +82,7 @@
 			known = newTarget(t, b.readRate(t.Service), b.fetchRate(t.Service))
 			b.targets[id] = known
 			b.assign(known)
+			b.restoreLimit(known)
 		case known.Incarnation != t.Incarnation:
 			known.restart(t)
 		default:
@@ -81,6 +91,7 @@
 	}
 	for id, t := range b.targets {
 		if current, found := s.Targets[id]; !found || s.Evacuated[current.DataCentre] {
+			b.retainLimit(t)
 			delete(b.targets, t.ID)
 		}
 	}
@@ -164,7 +175,7 @@
 // for the call, only the targets they reported are considered.
 func (b *Balancer) Choose(now time.Time, w Work, exclude []string) (Choice, bool) {
 	b.promptServices[w.Service] = b.promptServices[w.Service] || w.Tokens > 0
-	targets := b.eligible(now, w.Service, exclude)
+	targets := b.eligible(now, w, exclude)
 	candidates := b.policy.withFetches(w, b.candidates(now, w, targets))
 	minUnread := w.Tokens
 	for _, c := range candidates {
@@ -298,14 +309,14 @@
 	return tokens
 }
 
-// eligible returns the usable targets of a service, ordered by ID. It omits excluded
+// eligible returns the targets that a call may be sent to, ordered by ID. It omits excluded
 // targets, and targets that are ejected, unresponsive or have asked other hosts to back
 // off, as long as there are others.
-func (b *Balancer) eligible(now time.Time, service string, exclude []string) []*target {
+func (b *Balancer) eligible(now time.Time, w Work, exclude []string) []*target {
 	var preferred, avoided, excluded []*target
-	for _, t := range b.services[service] {
+	for _, t := range b.services[w.Service] {
 		switch {
-		case !b.usable(now, t):
+		case !b.usable(now, t), t.atLimit(now, w.Priority), t.limit.Limited && w.NoLimited:
 		case slices.Contains(exclude, t.ID):
 			excluded = append(excluded, t)
 		case t.health.ejected(now), t.peersBackOff(now), t.unresponsive(now):
@@ -370,6 +381,7 @@
 		t.recordStart(now, callStart{at: now, priority: w.Priority, unread: f.unread})
 	}
 	b.flows(t.Service).started.add(now, t.work(f))
+	b.learnWork(t, f)
 	if now.Before(t.ColdUntil) {
 		t.coldLimiter.record(now, b.coldRates[t.Service])
 	}
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -71,7 +71,7 @@
 
 // Candidates returns the targets whose coordinators must be queried before a call is sent.
 func (b *Balancer) Candidates(now time.Time, w Work, exclude []string) []string {
-	list := b.eligible(now, w.Service, exclude)
+	list := b.eligible(now, w, exclude)
 	var out []string
 	if len(w.Parts) > 1 {
 		out = appendLowest(list, affinityCandidates, out, func(t *target) float64 { return -float64(affinityWeight(t, w)) })
--- a/internal/balance/decide.go
+++ b/internal/balance/decide.go
@@ -74,6 +74,9 @@
 	// BackoffLeft is how long it takes until a target in the host's region that has asked to
 	// back off may be used again; 0 if there is none.
 	BackoffLeft time.Duration
+	// LimitWait is how long it takes until a target with a limit in the host's region has room
+	// for another call; 0 if there is none or HasLocal is set.
+	LimitWait time.Duration
 	// TypicalProcessing is the usual processing time of similar calls.
 	TypicalProcessing time.Duration
 	// Jitter is a number from 0 to 1 that differs from call to call.
@@ -105,8 +108,15 @@
 	// Spilled reports that the call goes to another region because its own region lacks
 	// capacity.
 	Spilled bool
+	// AtLimit reports that the call is refused because targets have no room for it under their
+	// limits.
+	AtLimit bool
 }
 
+// ReasonLimits is the reason of a refusal when targets are in service that have no room for a
+// call under their limits.
+const ReasonLimits = "the targets are at their limits"
+
 // Decide returns where a call is sent. A call stays in its own region while its response
 // is expected well within the latency objective, and goes to another region only if that
 // saves time. A call is refused if its wait would be so long that calls of its size miss the
@@ -141,6 +151,8 @@
 // refuse returns the refusal of a call with its reason and Retry-After.
 func (in DecisionInput) refuse(strained bool, limit time.Duration) Decision {
 	switch {
+	case in.LimitWait > 0:
+		return Decision{RetryAfter: max(minRetryAfter, in.LimitWait), Reason: ReasonLimits, AtLimit: true}
 	case strained:
 		return Decision{RetryAfter: retryAfter(in, limit), Reason: "the streams pause for too long"}
 	case !in.HasLocal && len(in.Remote) == 0 && in.BackoffLeft > 0:
--- a/internal/balance/large_test.go
+++ b/internal/balance/large_test.go
@@ -61,12 +61,11 @@
 
 // largeRegion simulates the hosts of a region and their targets in virtual time.
 type largeRegion struct {
-	now           time.Time
+	timeline
 	random        *rand.Rand
 	hosts         []string
 	balancers     map[string]*balance.Balancer
 	targets       map[string]*simTarget
-	events        []event                 // ordered by time
 	firstBytes    map[int][]time.Duration // times to the first byte, by prompt length
 	longPartReads int                     // how often a long shared part was read
 	down          map[string]bool         // hosts that are down
@@ -75,14 +74,9 @@
 	longPartsSeen map[uint64]bool         // long shared parts of all calls so far
 }
 
-type event struct {
-	at  time.Time
-	run func()
-}
-
 func newLargeRegion(seed uint64) *largeRegion {
 	r := &largeRegion{
-		now: start, random: rand.New(rand.NewPCG(seed, seed)), sharedParts: fewSharedParts, longPartsSeen: map[uint64]bool{}, balancers: map[string]*balance.Balancer{},
+		timeline: timeline{now: start}, random: rand.New(rand.NewPCG(seed, seed)), sharedParts: fewSharedParts, longPartsSeen: map[uint64]bool{}, balancers: map[string]*balance.Balancer{},
 		targets: map[string]*simTarget{}, firstBytes: map[int][]time.Duration{},
 	}
 	snapshot := snapshotOf(largeTargets)
@@ -102,23 +96,6 @@
 	return r
 }
 
-func (r *largeRegion) schedule(t time.Time, run func()) {
-	i, _ := slices.BinarySearchFunc(r.events, t, func(e event, t time.Time) int { return e.at.Compare(t) })
-	for i < len(r.events) && r.events[i].at.Equal(t) {
-		i++
-	}
-	r.events = slices.Insert(r.events, i, event{at: t, run: run})
-}
-
-func (r *largeRegion) runUntil(end time.Time) {
-	for len(r.events) > 0 && r.events[0].at.Before(end) {
-		e := r.events[0]
-		r.events = r.events[1:]
-		r.now = e.at
-		e.run()
-	}
-}
-
 // sendShares sends the share of one host to all others, and again after shareInterval.
 func (r *largeRegion) sendShares(name string) {
 	if r.down[name] {
--- /dev/null
+++ b/internal/balance/limit_test.go
@@ -0,0 +1,419 @@
+package balance_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+)
+
+const (
+	// limitWindow is any window over which the calls at a limited target are counted. In each,
+	// limitFactor times the limit plus limitSlack are tolerated.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitedID   = "t00"
+	// admissionTimeout is how long a simulated host waits for the host that grants calls.
+	admissionTimeout = 30 * time.Millisecond
+	// detectionTime is how long simulated hosts take to notice that others are unreachable,
+	// and twice that at most.
+	detectionTime = 800 * time.Millisecond
+	// limitStart is when the calls start, after all hosts have discovered one another.
+	limitStart = time.Second
+)
+
+// limitCase is a scripted test case of a region whose hosts share the limit of a target.
+type limitCase struct {
+	Name  string
+	Hosts int
+	// BusyHosts is the number of hosts that get calls, 0 for all.
+	BusyHosts int
+	// CallsPerSecond is the rate of calls of the region.
+	CallsPerSecond float64
+	PerSecond      float64 // limit that the target states from the start
+	Seconds        float64
+	Steps          []limitStep
+	// From and To bound the seconds over which the use of the limit is measured. LeastUse is
+	// the share of the limit that must be used in them, of the calls if they are fewer.
+	From, To, LeastUse float64
+	// MostUse bounds that share.
+	MostUse float64
+}
+
+// limitStep changes the simulated region.
+type limitStep struct {
+	At float64 // seconds
+	// Parts cuts the hosts into parts of the given sizes. Hosts beyond their sum are alone. An
+	// empty list heals the cut.
+	Parts []int
+	// OneWay lets messages from the first part to the others pass.
+	OneWay bool
+	// Limit is the new limit, negative for none.
+	Limit *float64
+	// Kill kills the given number of hosts, KillOwner the one that grants calls.
+	Kill      int
+	KillOwner bool
+	// Restart restarts the target, without a limit.
+	Restart bool
+	// Join adds a host.
+	Join bool
+	// Old makes the given number of hosts behave like a version without limits: they send
+	// nothing to the target in this simulation, and do not reply.
+	Old int
+	// Evacuate takes the target out of use and back.
+	Evacuate bool
+}
+
+// limitRegion simulates hosts that share the limit of a target.
+type limitRegion struct {
+	timeline
+	random   *rand.Rand
+	snapshot *catalogue.Snapshot
+	hosts    []*limitHost
+	limit    float64 // stated by the target, negative for none
+	arrivals []time.Time
+	calls    int
+	refused  int
+}
+
+type limitHost struct {
+	name      string
+	balancer  *balance.Balancer
+	part      int
+	dead, old bool
+	startedAt time.Time
+	oneWay    bool // its messages reach other parts
+}
+
+func newLimitRegion(seed uint64, hosts int, perSecond float64) *limitRegion {
+	r := &limitRegion{timeline: timeline{now: start}, random: rand.New(rand.NewPCG(seed, seed)), snapshot: snapshotOf(2), limit: perSecond}
+	for range hosts {
+		r.addHost()
+	}
+	r.updateViews()
+	return r
+}
+
+func (r *limitRegion) addHost() {
+	h := &limitHost{name: fmt.Sprintf("host-%03d", len(r.hosts)), balancer: balance.NewBalancer("north", r.random.Uint64()), startedAt: r.now}
+	if r.now.Equal(start) {
+		h.startedAt = start.Add(-time.Hour)
+	}
+	h.balancer.Configure(r.snapshot)
+	r.hosts = append(r.hosts, h)
+	r.after(time.Duration(r.random.Int64N(int64(balance.LendInterval))), func() { r.lend(h) })
+	r.after(time.Duration(r.random.Int64N(int64(shareInterval))), func() { r.share(h) })
+}
+
+// updateViews passes to each host the hosts that it can reach.
+func (r *limitRegion) updateViews() {
+	for _, h := range r.hosts {
+		r.updateView(h)
+	}
+}
+
+func (r *limitRegion) updateView(h *limitHost) {
+	view := balance.Hosts{Self: h.name, Settled: r.now.Sub(h.startedAt) > 3*time.Second}
+	for _, other := range r.hosts {
+		view.Sharers++
+		view.Known++
+		if other == h || (!other.dead && r.reaches(other, h)) {
+			view.Live = append(view.Live, other.name)
+		}
+	}
+	h.balancer.SetHosts(view)
+}
+
+// updateViewsLater lets each host notice a change after its own time.
+func (r *limitRegion) updateViewsLater() {
+	for _, h := range r.hosts {
+		r.after(detectionTime+time.Duration(r.random.Int64N(int64(detectionTime))), func() { r.updateView(h) })
+	}
+}
+
+func (r *limitRegion) reaches(from, to *limitHost) bool { return from.part == to.part || from.oneWay }
+
+// deliver runs f at a host after the delay of a message, unless it is lost.
+func (r *limitRegion) deliver(from *limitHost, to string, f func(to *limitHost)) {
+	for _, h := range r.hosts {
+		if h.name == to && h != from {
+			r.after(messageDelay/2+time.Duration(r.random.Int64N(int64(messageDelay))), func() {
+				if !h.dead && !h.old && r.reaches(from, h) {
+					f(h)
+				}
+			})
+		}
+	}
+}
+
+func (r *limitRegion) lend(h *limitHost) {
+	if h.dead {
+		return
+	}
+	r.after(balance.LendInterval, func() { r.lend(h) })
+	if h.old {
+		return
+	}
+	for owner, loans := range h.balancer.DueLoans(r.now) {
+		r.deliver(h, owner, func(to *limitHost) {
+			for _, loan := range loans {
+				to.balancer.ApplyLimitReport(r.now, h.name, loan.Report)
+				if ack, ok := to.balancer.ApplyLoan(r.now, h.name, loan); ok {
+					r.deliver(to, h.name, func(h *limitHost) {
+						h.balancer.RecordAck(r.now, to.name, ack)
+						h.balancer.ApplyLimitReport(r.now, to.name, ack)
+					})
+				}
+			}
+		})
+	}
+}
+
+func (r *limitRegion) share(h *limitHost) {
+	if h.dead {
+		return
+	}
+	r.after(shareInterval, func() { r.share(h) })
+	for _, report := range h.balancer.Share(r.now).Limits {
+		r.broadcast(h, report)
+	}
+}
+
+func (r *limitRegion) broadcast(h *limitHost, report balance.LimitReport) {
+	for _, other := range r.hosts {
+		r.deliver(h, other.name, func(to *limitHost) { to.balancer.ApplyLimitReport(r.now, h.name, report) })
+	}
+}
+
+// attempt sends a call to a target, after asking for admission if that is needed.
+func (r *limitRegion) attempt(h *limitHost, w balance.Work, denials int) {
+	if h.dead || h.old {
+		return
+	}
+	w.NoLimited = denials >= 3
+	choice, ok := h.balancer.Choose(r.now, w, nil)
+	if !ok {
+		r.refused++
+		return
+	}
+	id := choice.Target.ID
+	if !h.balancer.Limited(id) {
+		r.send(h, id, w)
+		return
+	}
+	admission := h.balancer.Admit(r.now, id, w.Priority)
+	if admission.Owner == "" {
+		r.finish(h, id, w, denials, admission)
+		return
+	}
+	answered := false
+	r.deliver(h, admission.Owner, func(owner *limitHost) {
+		decision := owner.balancer.AdmitFor(r.now, id, w.Priority)
+		r.deliver(owner, h.name, func(h *limitHost) {
+			if answered {
+				return
+			}
+			answered = true
+			if !decision.Granted {
+				h.balancer.RecordDenial(r.now, id, w.Priority, decision.Wait)
+			}
+			r.finish(h, id, w, denials, decision)
+		})
+	})
+	r.after(admissionTimeout, func() {
+		if !answered {
+			answered = true
+			h.balancer.RecordNoAnswer(r.now, id, w.Priority)
+			r.finish(h, id, w, denials, balance.Admission{})
+		}
+	})
+}
+
+func (r *limitRegion) finish(h *limitHost, id string, w balance.Work, denials int, admission balance.Admission) {
+	if admission.Granted {
+		r.send(h, id, w)
+	} else {
+		r.attempt(h, w, denials+1)
+	}
+}
+
+func (r *limitRegion) send(h *limitHost, id string, w balance.Work) {
+	sentAt, incarnation := r.now, r.snapshot.Targets[id].Incarnation
+	flight := h.balancer.Begin(r.now, id, w)
+	took := 20*time.Millisecond + time.Duration(r.random.Int64N(int64(500*time.Millisecond)))
+	if id == limitedID {
+		r.arrivals = append(r.arrivals, r.now)
+	}
+	statement := balance.LimitStatement{}
+	r.after(time.Duration(r.random.Float64()*float64(took)), func() {
+		if id == limitedID && r.limit >= 0 {
+			statement = balance.LimitStatement{Limited: true, PerSecond: r.limit}
+		}
+	})
+	r.after(took, func() {
+		h.balancer.FirstByte(r.now, flight)
+		h.balancer.End(r.now, flight, balance.Answered)
+		if _, changed := h.balancer.RecordLimit(r.now, sentAt, id, incarnation, statement); changed {
+			if report, ok := h.balancer.LimitReportFor(r.now, id); ok {
+				r.broadcast(h, report)
+			}
+		}
+	})
+}
+
+func (r *limitRegion) owner() *limitHost {
+	name := r.hosts[0].balancer.CoordinatorOf(limitedID)
+	for _, h := range r.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (r *limitRegion) apply(s limitStep) {
+	if s.Parts != nil {
+		r.cut(s.Parts, s.OneWay)
+	}
+	if s.Limit != nil {
+		r.limit = *s.Limit
+	}
+	for _, h := range r.hosts[:s.Kill] {
+		h.dead = true
+	}
+	if s.KillOwner {
+		r.owner().dead = true
+	}
+	if s.Restart || s.Evacuate {
+		r.replaceTarget(s.Restart)
+	}
+	if s.Join {
+		r.addHost()
+		r.updateViewsLater()
+		r.after(4*time.Second, r.updateViews)
+	}
+	for i := range s.Old {
+		r.hosts[len(r.hosts)-1-i].old = true
+	}
+	r.updateViewsLater()
+}
+
+func (r *limitRegion) cut(parts []int, oneWay bool) {
+	part, left := 0, 0
+	if len(parts) > 0 {
+		left = parts[0]
+	}
+	for _, h := range r.hosts {
+		h.part, h.oneWay = part, oneWay && part == 0
+		if len(parts) == 0 {
+			h.part, h.oneWay = 0, false
+			continue
+		}
+		if left--; left > 0 {
+			continue
+		}
+		part++
+		left = 1
+		if part < len(parts) {
+			left = parts[part]
+		}
+	}
+}
+
+func (r *limitRegion) replaceTarget(restart bool) {
+	without := snapshotOf(2)
+	delete(without.Targets, limitedID)
+	for _, h := range r.hosts {
+		h.balancer.Configure(without)
+	}
+	t := r.snapshot.Targets[limitedID]
+	if restart {
+		t.Incarnation += "+"
+		r.limit = -1
+	}
+	r.snapshot.Targets[limitedID] = t
+	for _, h := range r.hosts {
+		h.balancer.Configure(r.snapshot)
+	}
+}
+
+// use returns the number of calls per second at the target between two times in seconds.
+func (r *limitRegion) use(from, to float64) float64 {
+	n := 0
+	for _, at := range r.arrivals {
+		if s := at.Sub(start).Seconds(); s >= from && s < to {
+			n++
+		}
+	}
+	return float64(n) / (to - from)
+}
+
+// mostCalls returns the largest number of calls at the target within any window, from a time
+// in seconds on.
+func (r *limitRegion) mostCalls(from float64) int {
+	most := 0
+	for i, first := range r.arrivals {
+		if first.Sub(start).Seconds() < from {
+			continue
+		}
+		n := 0
+		for _, at := range r.arrivals[i:] {
+			if at.Sub(first) < limitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func (r *limitRegion) run(c limitCase) {
+	busy := c.BusyHosts
+	if busy == 0 {
+		busy = len(r.hosts)
+	}
+	for at := limitStart.Seconds(); at < c.Seconds; at += r.random.ExpFloat64() / c.CallsPerSecond {
+		r.schedule(start.Add(seconds(at)), func() {
+			w := promptWork(1000)
+			w.Priority = r.random.IntN(2)
+			r.calls++
+			r.attempt(r.hosts[r.random.IntN(busy)], w, 0)
+		})
+	}
+	for _, s := range c.Steps {
+		r.schedule(start.Add(seconds(s.At)), func() { r.apply(s) })
+	}
+	r.runUntil(start.Add(seconds(c.Seconds)))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+var _ = Describe("hosts that share the limit of a target", func() {
+	for _, c := range readCases[limitCase]("testdata/limits.json") {
+		It(c.Name, func() {
+			for seed := range uint64(4) {
+				r := newLimitRegion(seed, c.Hosts, c.PerSecond)
+				r.run(c)
+				highest := c.PerSecond
+				for _, s := range c.Steps {
+					if s.Limit != nil {
+						highest = max(highest, *s.Limit)
+					}
+				}
+				if c.MostUse > 0 {
+					Expect(r.use(c.From, c.To)/c.PerSecond).To(BeNumerically("<=", c.MostUse), "seed %d", seed)
+				}
+				Expect(r.mostCalls(c.From)).To(BeNumerically("<=", int(math.Floor(limitFactor*highest*limitWindow.Seconds()+limitSlack))), "seed %d", seed)
+				Expect(r.use(c.From, c.To)/c.PerSecond).To(BeNumerically(">=", c.LeastUse), "seed %d", seed)
+				Expect(r.refused).To(BeZero(), "the other target has no limit; seed %d", seed)
+			}
+		})
+	}
+})
--- a/internal/balance/listing.go
+++ b/internal/balance/listing.go
@@ -56,7 +56,7 @@
 				t.listing.nextAt = now.Add(listFallbackDelay)
 			}
 		}
-		if !now.Before(t.listing.nextAt) && (assigned || !b.Coordinated()) {
+		if !now.Before(t.listing.nextAt) && (assigned || !b.Coordinated()) && b.admitListing(now, t, assigned) {
 			t.listing.nextAt = now.Add(listRetryInterval)
 			t.listing.attempts++
 			out = append(out, t.Target)
@@ -65,6 +65,12 @@
 	return out
 }
 
+// admitListing reports whether a target may be asked for a list now. At a target with a limit,
+// a request counts like a call, and only the host that the target is assigned to sends one.
+func (b *Balancer) admitListing(now time.Time, t *target, assigned bool) bool {
+	return !t.limit.Limited || (assigned && b.takeToken(now, t, priorityClasses-1))
+}
+
 // RecordListing records the parts that a target reports as cached, and returns the listing
 // for the other hosts.
 func (b *Balancer) RecordListing(now time.Time, id string, parts []Part) CacheListing {
--- /dev/null
+++ b/internal/balance/quota.go
@@ -0,0 +1,270 @@
+package balance
+
+import (
+	"time"
+)
+
+// All hosts of a region share the limit of a target. Each of the hosts that may be sending has
+// an equal share, which it may use without asking anyone: hosts that are cut off from one
+// another keep the limit together. While hosts are in touch, all lend their shares to the host
+// that the target is assigned to, and ask that host before each call. It grants calls at the
+// rate of the shares that it has, so that hosts with many calls use the shares of the others.
+//
+// A share is lent for a short time, and repeatedly. The lender counts this time from sending,
+// plus a margin, and the borrower from the arrival of the message. A host that gets no
+// acknowledgement stops lending, and uses its own share again once its last loan has expired.
+
+const (
+	// LendInterval is the interval at which hosts lend their shares.
+	LendInterval = 400 * time.Millisecond
+	// loanTTL is how long the borrower uses a share, and loanMargin how much longer the lender
+	// does not: the longest delay of a message for which a share is never used twice.
+	loanTTL    = 1500 * time.Millisecond
+	loanMargin = 500 * time.Millisecond
+	// ackTTL is how long a host lends and asks after its last acknowledgement.
+	ackTTL = 1300 * time.Millisecond
+	// minQuotaTokenTTL and maxQuotaTokenTTL bound how long a token for one call is valid. It
+	// is the interval of two tokens, so that calls do not come in bursts, but long enough for
+	// the gaps between calls at a high rate, and short enough that many hosts that are alone
+	// do not use tokens of a long time at once.
+	minQuotaTokenTTL = 250 * time.Millisecond
+	maxQuotaTokenTTL = time.Second
+	// minQuotaWait is the shortest time for which a target that has no room gets no calls.
+	minQuotaWait = 20 * time.Millisecond
+	// unansweredQuotaWait is that time after the assigned host did not answer.
+	unansweredQuotaWait = 50 * time.Millisecond
+	// maxUrgentRun is the number of tokens in a row for which urgent calls go before others.
+	maxUrgentRun = 3
+)
+
+// quota is the part of a host in sharing the limit of a target.
+type quota struct {
+	tokens     tokenBucket
+	refilledAt time.Time
+	// loans are the ends of the loans to this host, by lender.
+	loans map[string]time.Time
+	// lentTo is the host that this one has lent its share to, until lentUntil.
+	lentTo    string
+	lentUntil time.Time
+	// ackedBy is the host that last acknowledged to be responsible for the target.
+	ackedBy string
+	ackedAt time.Time
+	// closedUntil is the earliest time at which the target has room for another call, by
+	// priority class.
+	closedUntil [priorityClasses]time.Time
+	// urgentDeniedAt is when a call of priority 0 was last denied. urgentRun is the number of
+	// such calls that were granted since any other.
+	urgentDeniedAt time.Time
+	urgentRun      int
+}
+
+// reset starts a quota for a target that has just stated a limit. Phase is a number from 0 to
+// 1 that differs from host to host.
+func (q *quota) reset(now time.Time, phase float64) {
+	*q = quota{tokens: tokenBucket{fraction: phase}, refilledAt: now, loans: map[string]time.Time{}, lentTo: q.lentTo, lentUntil: q.lentUntil}
+}
+
+// shares returns the number of shares of the target's limit that the host may use.
+func (b *Balancer) shares(now time.Time, t *target) int {
+	if !b.hosts.Settled {
+		return 0
+	}
+	n := 0
+	if !now.Before(t.quota.lentUntil) {
+		n = 1
+	}
+	if t.assigned.host != b.hosts.Self {
+		return n
+	}
+	for host, end := range t.quota.loans {
+		if now.Before(end) {
+			n++
+		} else {
+			delete(t.quota.loans, host)
+		}
+	}
+	return n
+}
+
+// quotaRate returns the number of calls per second that the host may send to a limited
+// target, or grant.
+func (b *Balancer) quotaRate(now time.Time, t *target) float64 {
+	sharers := b.sharers()
+	return t.limit.rate() * float64(min(b.shares(now, t), sharers)) / float64(sharers)
+}
+
+// sharers returns the number of shares of a limit.
+func (b *Balancer) sharers() int { return max(1, b.hosts.Sharers, len(b.hosts.Live)) }
+
+// refillQuota adds the tokens since the last call.
+func (b *Balancer) refillQuota(now time.Time, t *target) {
+	rate, q := b.quotaRate(now, t), &t.quota
+	ttl := quotaTokenTTL(rate)
+	q.tokens.add(now, min(rate*now.Sub(q.refilledAt).Seconds(), max(1, rate*ttl.Seconds())), ttl)
+	q.refilledAt = now
+}
+
+func quotaTokenTTL(rate float64) time.Duration {
+	return min(max(time.Duration(float64(time.Second)/max(rate, 1)), minQuotaTokenTTL), maxQuotaTokenTTL)
+}
+
+// takeToken takes a token for a call of a priority. While urgent calls are denied, others get
+// one token after maxUrgentRun of them.
+func (b *Balancer) takeToken(now time.Time, t *target, priority int) bool {
+	b.refillQuota(now, t)
+	q := &t.quota
+	reserved := priority > 0 && q.urgentRun < maxUrgentRun && now.Sub(q.urgentDeniedAt) < maxQuotaTokenTTL
+	if reserved || !q.tokens.take(now) {
+		if priority == 0 {
+			q.urgentDeniedAt = now
+		}
+		return false
+	}
+	if priority > 0 {
+		q.urgentRun = 0
+	} else {
+		q.urgentRun++
+	}
+	return true
+}
+
+// quotaWait returns the time until the host has another token.
+func (b *Balancer) quotaWait(now time.Time, t *target) time.Duration {
+	wait := maxQuotaTokenTTL
+	if rate := b.quotaRate(now, t); rate > 0 {
+		wait = time.Duration(min(maxQuotaTokenTTL.Seconds(), (1-t.quota.tokens.fraction)/rate) * float64(time.Second))
+	}
+	return max(wait, minQuotaWait)
+}
+
+// Admission is the decision whether a call may be sent to a target now.
+type Admission struct {
+	Granted bool
+	// Owner is the host to ask, if this one must not decide.
+	Owner string
+	// Wait is the time until the target may have room, if the call is denied.
+	Wait time.Duration
+}
+
+// Admit decides whether this host may send a call to a target.
+func (b *Balancer) Admit(now time.Time, id string, priority int) Admission {
+	t := b.targets[id]
+	if t == nil || !t.limit.Limited {
+		return Admission{Granted: true}
+	}
+	if owner := t.assigned.host; owner != b.hosts.Self && t.quota.isAckedBy(owner, now) {
+		return Admission{Owner: owner}
+	}
+	return b.admitHere(now, t, priority)
+}
+
+// isAckedBy reports whether a host has acknowledged lately to be responsible for the target.
+func (q *quota) isAckedBy(host string, now time.Time) bool {
+	return q.ackedBy == host && now.Sub(q.ackedAt) < ackTTL
+}
+
+func (b *Balancer) admitHere(now time.Time, t *target, priority int) Admission {
+	if b.takeToken(now, t, priority) {
+		return Admission{Granted: true}
+	}
+	wait := b.quotaWait(now, t)
+	t.quota.close(now.Add(wait), priority)
+	return Admission{Wait: wait}
+}
+
+// close records that the target has no room before a time for calls of the given priority,
+// nor for less urgent ones.
+func (q *quota) close(until time.Time, priority int) {
+	for class := min(priority, priorityClasses-1); class < priorityClasses; class++ {
+		q.closedUntil[class] = until
+	}
+}
+
+// AdmitFor decides for another host whether it may send a call to a target that is assigned to
+// this one.
+func (b *Balancer) AdmitFor(now time.Time, id string, priority int) Admission {
+	t := b.targets[id]
+	if t == nil || t.assigned.host != b.hosts.Self || !t.limit.Limited {
+		return Admission{Wait: unansweredQuotaWait} // the hosts differ in what they know
+	}
+	return b.admitHere(now, t, priority)
+}
+
+// RecordDenial records that a target has no room for a call of the given priority for a
+// duration, as the assigned host says.
+func (b *Balancer) RecordDenial(now time.Time, id string, priority int, wait time.Duration) {
+	if t := b.targets[id]; t != nil {
+		t.quota.close(now.Add(min(max(wait, minQuotaWait), maxQuotaTokenTTL)), priority)
+	}
+}
+
+// RecordNoAnswer records that the assigned host of a target did not answer.
+func (b *Balancer) RecordNoAnswer(now time.Time, id string, priority int) {
+	b.RecordDenial(now, id, priority, unansweredQuotaWait)
+}
+
+// atLimit reports whether the target is known to have no room for a call.
+func (t *target) atLimit(now time.Time, priority int) bool {
+	return t.limit.Limited && now.Before(t.quota.closedUntil[min(priority, priorityClasses-1)])
+}
+
+// limitWait returns how long the target has no room for a call, as far as this host knows.
+func (t *target) limitWait(now time.Time, priority int) time.Duration {
+	if !t.atLimit(now, priority) {
+		return 0
+	}
+	return t.quota.closedUntil[min(priority, priorityClasses-1)].Sub(now)
+}
+
+// Loan lends a host's share of a target's limit to the host that the target is assigned to, or
+// asks whether that host is responsible for it.
+type Loan struct {
+	// Lent is set if the recipient may use the share for loanTTL.
+	Lent   bool        `cbor:"1,keyasint,omitempty"`
+	Report LimitReport `cbor:"2,keyasint"`
+}
+
+// DueLoans returns the loans to send now, by recipient. It must be called at LendInterval.
+func (b *Balancer) DueLoans(now time.Time) map[string][]Loan {
+	out := map[string][]Loan{}
+	for _, t := range b.targets {
+		if !t.limit.Limited {
+			continue
+		}
+		b.refillQuota(now, t)
+		owner := t.assigned.host
+		if owner == "" || owner == b.hosts.Self {
+			continue
+		}
+		q := &t.quota
+		lend := q.isAckedBy(owner, now) && (q.lentTo == owner || !now.Before(q.lentUntil))
+		if lend {
+			q.lentTo, q.lentUntil = owner, now.Add(loanTTL+loanMargin)
+		}
+		out[owner] = append(out[owner], Loan{Lent: lend, Report: t.limitReport(now)})
+	}
+	return out
+}
+
+// ApplyLoan records the loan of another host. It returns what this host knows of the limit if
+// it is responsible for the target.
+func (b *Balancer) ApplyLoan(now time.Time, host string, l Loan) (LimitReport, bool) {
+	t := b.targets[l.Report.Target]
+	if t == nil || t.assigned.host != b.hosts.Self || incarnationKey(t.Incarnation) != l.Report.Incarnation || t.quota.loans == nil {
+		return LimitReport{}, false
+	}
+	b.refillQuota(now, t)
+	if l.Lent {
+		t.quota.loans[host] = now.Add(loanTTL)
+	} else {
+		delete(t.quota.loans, host)
+	}
+	return t.limitReport(now), true
+}
+
+// RecordAck records that a host is responsible for the target of a report.
+func (b *Balancer) RecordAck(now time.Time, host string, l LimitReport) {
+	if t := b.targets[l.Target]; t != nil {
+		t.quota.ackedBy, t.quota.ackedAt = host, now
+	}
+}
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -78,7 +78,11 @@
 	out := RegionLoad{Region: b.region, Demand: flows.Demand()}
 	flights, slots := 0, 0
 	for _, t := range b.services[service] {
-		if b.usable(now, t) && !t.health.ejected(now) {
+		switch {
+		case !b.usable(now, t) || t.health.ejected(now):
+		case t.limit.Limited:
+			out.Capacity += b.limitedCapacity(t)
+		default:
 			out.Capacity += t.capacity()
 			out.Targets++
 			flights += t.flightCount(now)
@@ -107,14 +111,24 @@
 	Capacity int `cbor:"7,keyasint"`
 }
 
-// States returns the state of each service in the region.
+// States returns the state of each service in the region. Targets with a limit contribute to
+// its capacity; they count as targets only where no others are in service.
 func (b *Balancer) States(now time.Time) map[string]ServiceState {
-	services := map[string][]*target{}
+	services, limited := map[string][]*target{}, map[string][]*target{}
 	for _, t := range b.targets {
-		if b.usable(now, t) && !t.health.ejected(now) {
+		switch {
+		case !b.usable(now, t) || t.health.ejected(now):
+		case t.limit.Limited:
+			limited[t.Service] = append(limited[t.Service], t)
+		default:
 			services[t.Service] = append(services[t.Service], t)
 		}
 	}
+	for name, list := range limited {
+		if len(services[name]) == 0 {
+			services[name] = list
+		}
+	}
 	out := map[string]ServiceState{}
 	for name, list := range services {
 		out[name] = b.state(now, list)
@@ -134,7 +148,8 @@
 	for priority := range s.WaitMs {
 		waits := make([]time.Duration, 0, len(list))
 		for _, t := range list {
-			waits = append(waits, t.candidate(now, Work{Priority: priority, Tokens: 1}).predict(now, Work{Priority: priority, Tokens: 1}).Wait)
+			wait := t.candidate(now, Work{Priority: priority, Tokens: 1}).predict(now, Work{Priority: priority, Tokens: 1}).Wait
+			waits = append(waits, max(wait, t.limitWait(now, priority)))
 		}
 		slices.Sort(waits)
 		s.WaitMs[priority] = int(waits[(len(waits)-1)/3].Milliseconds())
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -87,12 +87,14 @@
 	// ReadRates are the reading rates of targets in prompt tokens per millisecond, by
 	// service.
 	ReadRates map[string]float64 `cbor:"4,keyasint,omitempty"`
+	// Limits are the limits of the targets that are assigned to the host.
+	Limits []LimitReport `cbor:"5,keyasint,omitempty"`
 }
 
 // Share returns the state that the host reports periodically to the others of its region,
 // in addition to its changes.
 func (b *Balancer) Share(now time.Time) Share {
-	s := Share{Flows: map[string]Flows{}, ReadRates: b.trustedReadRates()}
+	s := Share{Flows: map[string]Flows{}, ReadRates: b.trustedReadRates(), Limits: b.ownedLimitReports(now)}
 	for service, flows := range b.ownFlows {
 		s.Flows[service] = flows.rates(now).rounded()
 	}
@@ -182,10 +184,22 @@
 	Backlog    int
 	Rate       float64
 	FaultRate  float64
-	// LimitPerSecond is the limit that the target states, nil if it states none, and
-	// LimitAgeMs the age of that statement.
-	LimitPerSecond *float64 `json:",omitempty"`
-	LimitAgeMs     int64    `json:",omitempty"`
+	// Limit is nil if the target has none.
+	Limit *LimitDump `json:",omitempty"`
+}
+
+// LimitDump is the host's state of a target's limit.
+type LimitDump struct {
+	PerSecond float64
+	AgeMs     int64
+	// From is the host that received the statement, empty for this one.
+	From string
+	// Owner is the host that grants calls to the target.
+	Owner string
+	// OwnPerSecond is the rate at which this host may send or grant calls, of SharesOf shares
+	// in all, of which it has Shares.
+	OwnPerSecond     float64
+	Shares, SharesOf int
 }
 
 // Dump returns the host's state of its region's targets, ordered by ID.
@@ -198,7 +212,10 @@
 			Backlog: int(t.backlog(now, priorityClasses)), Rate: t.rate(), FaultRate: t.health.failureRate(now),
 		}
 		if t.limit.Limited {
-			d.LimitPerSecond, d.LimitAgeMs = &t.limit.PerSecond, now.Sub(t.limit.at).Milliseconds()
+			d.Limit = &LimitDump{
+				PerSecond: t.limit.PerSecond, AgeMs: now.Sub(t.limit.receivedAt).Milliseconds(), From: t.limit.host, Owner: t.assigned.host,
+				OwnPerSecond: b.quotaRate(now, t), Shares: b.shares(now, t), SharesOf: b.sharers(),
+			}
 		}
 		out = append(out, d)
 	}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -38,6 +38,7 @@
 	backoffUntil     time.Time
 	peerBackoffUntil time.Time
 	limit            limitRecord
+	quota            quota
 	listing          listing
 	hash             uint64 // of the ID
 	assigned         assignment
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -30,6 +30,8 @@
 	Key string
 	// NoHold reports that the call must not be held back any longer.
 	NoHold bool
+	// NoLimited reports that the call must not be sent to a target with a limit.
+	NoLimited bool
 	// Loads are the loads that coordinators have just reported for this call, by target.
 	Loads map[string]TargetLoad
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,6 +32,7 @@
 	request    *fasthttp.Request // of the caller, without reserved headers
 
 	heldFor      time.Duration // total delay before attempts
+	diverted     []string      // targets that had no room for the call under their limits
 	spilled      bool          // goes to another region because the own one lacks capacity
 	attempts     int           // attempts that may have run the call
 	refusals     int           // attempts that were refused without running the call
@@ -90,6 +91,10 @@
 			c.steps = c.steps[:len(c.steps)-1] // replaced by the decision after the hold
 			continue
 		}
+		if decision.Local && !c.admit(choice.Target) {
+			c.steps = c.steps[:len(c.steps)-1] // replaced by the next decision
+			continue
+		}
 		var u *upstreamResponse
 		var r result
 		switch {
@@ -98,6 +103,9 @@
 		case decision.Region != "":
 			u, r = c.sendToRegion(decision.Region)
 		default:
+			if decision.AtLimit {
+				c.countLimitRefusal()
+			}
 			return c.hostReply(decision.Reason, decision.RetryAfter)
 		}
 		if u != nil {
@@ -193,6 +201,7 @@
 		if backoff, ok := c.gateway.balancer.BackoffLeft(now, c.service); ok && (input.BackoffLeft == 0 || backoff < input.BackoffLeft) {
 			input.BackoffLeft = backoff
 		}
+		input.LimitWait = c.limitWait(now)
 	}
 	if input.HasLocal && len(input.Remote) > 0 {
 		home, others := c.gateway.balancer.RegionLoad(now, c.service), c.gateway.regions.Loads(now, input.Remote, c.service)
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"strings"
 	"time"
 
@@ -58,8 +57,9 @@
 	g.typicalTimes[route] = mean + time.Duration(typicalTimeWeight*float64(sample-mean))
 }
 
-// recordTargetState updates the state of a target from the headers of its response.
-func (g *Gateway) recordTargetState(t catalogue.Target, headers TargetResponse) {
+// recordTargetState updates the state of a target from the headers of its response to a request
+// that was sent at sentAt.
+func (g *Gateway) recordTargetState(t catalogue.Target, sentAt time.Time, headers TargetResponse) {
 	id := t.ID
 	for _, field := range headers.InvalidHeaders {
 		g.log.Info("A target sent an invalid header; its last valid value stays in force.", "Target", id, "Field", field)
@@ -67,6 +67,9 @@
 	if headers.Leaving {
 		g.recordLeaving(t.Incarnation, true)
 	}
+	if headers.Limit != nil {
+		g.recordLimit(t, sentAt, *headers.Limit)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -75,9 +78,6 @@
 			"TakenMs", min(headers.RetryAfter, balance.MaxBackoff).Milliseconds())
 		g.balancer.BackOff(now, id, headers.RetryAfter)
 	}
-	if headers.Limit != nil {
-		g.recordLimit(now, t, *headers.Limit)
-	}
 	if headers.Load != nil {
 		g.balancer.Observe(now, id, *headers.Load)
 	}
@@ -86,25 +86,6 @@
 	}
 }
 
-// recordLimit records what a target says about its limit. The caller holds g.mu.
-func (g *Gateway) recordLimit(now time.Time, t catalogue.Target, s balance.LimitStatement) {
-	if s.Limited {
-		g.metrics.add("limit_statements_total", 1)
-	}
-	if previous, age, changed := g.balancer.RecordLimit(now, t.ID, s); changed {
-		g.log.Info("A target changed its limit.", "Target", t.ID, "Limited", s.Limited, "PerSecond", s.PerSecond,
-			"WasLimited", previous.Limited, "WasPerSecond", previous.PerSecond, "AgeMs", age.Milliseconds(), "From", "target")
-	}
-}
-
-// countLimitedSend counts a request to a target that has stated a limit, by its kind. The
-// caller holds g.mu.
-func (g *Gateway) countLimitedSend(target, kind string) {
-	if g.balancer.Limit(target).Limited {
-		g.metrics.add(fmt.Sprintf("limited_sends_total{kind=%q}", kind), 1)
-	}
-}
-
 // faulty reports whether a target fails so many calls that the target itself is at fault.
 func (g *Gateway) faulty(id string) bool {
 	g.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 //	coordinate.go   load queries to the coordinators of targets
 //	peermessage.go  load reports between hosts
 //	cachelist.go    prompt caches of targets
+//	admission.go    limits of targets that the hosts of a region share
 //	members.go      live hosts, readiness and the directory for callers
 //	updates.go      store updates that one host reads for its data centre
 //	peers.go        requests between hosts
@@ -118,6 +119,7 @@
 	rng            *rand.Rand
 
 	loadReplies      replies[loadReply]
+	admissionReplies replies[admissionReply]
 	messageAddresses sync.Map // *net.UDPAddr by peer address
 	storeReaders     atomic.Pointer[storeReaders]
 	leaving          atomic.Bool
@@ -244,6 +246,7 @@
 	group.Go("store update sender", g.broadcastUpdates)
 	group.Go("load report sender", g.sendLoadReports)
 	group.Go("load report receiver", g.receiveMessages)
+	group.Go("limit lender", g.lendLimits)
 	group.Go("examiner", g.probeSuspects)
 	group.Go("lister", g.pollCacheLists)
 	group.Go("hang-ups", func(ctx context.Context) error { return g.hangups.Run(ctx, g.clock) })
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -112,7 +112,13 @@
 	silent := g.silentPeers()
 	hosts := balance.Hosts{Self: g.settings.Host}
 	for _, m := range view.Members {
-		if m.Region != g.settings.Region || m.Status == member.Gone {
+		if m.Region != g.settings.Region {
+			continue
+		}
+		if m.Status != member.Gone || !m.Leaving {
+			hosts.Sharers++
+		}
+		if m.Status == member.Gone {
 			continue
 		}
 		hosts.Known++
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -137,7 +137,7 @@
 	}
 	c.gateway.log.Info("A call ended.", "ID", c.meta.ID, "Route", c.route.Name, "Service", c.service, "Version", c.version,
 		"Received", c.fromPeer, "Status", status, "Outcome", outcome.String(), "Reason", reason,
-		"TookMs", took.Milliseconds(), "HeldMs", c.heldFor.Milliseconds(), "FirstMs", c.firstByteMs(), "LongestPauseMs", c.longestPause.Milliseconds(), "Sends", c.attempts, "Steps", c.steps, "Since", c.acceptedAt.UTC().Format(time.RFC3339Nano))
+		"TookMs", took.Milliseconds(), "HeldMs", c.heldFor.Milliseconds(), "Diverted", c.diverted, "FirstMs", c.firstByteMs(), "LongestPauseMs", c.longestPause.Milliseconds(), "Sends", c.attempts, "Steps", c.steps, "Since", c.acceptedAt.UTC().Format(time.RFC3339Nano))
 }
 
 // firstByteMs returns the milliseconds to the first byte of the response, -1 if none came.
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -44,6 +44,14 @@
 	LoadReply *loadReply `cbor:"9,keyasint,omitempty"`
 	// CacheList is the list of a target's prompt cache.
 	CacheList *balance.CacheListing `cbor:"10,keyasint,omitempty"`
+	// Limit is a change of a target's limit.
+	Limit *balance.LimitReport `cbor:"11,keyasint,omitempty"`
+	// AdmissionQuery and AdmissionReply are exchanged before a call is sent to a target with a
+	// limit, and Loans and LoanAcks periodically, with the host that the target is assigned to.
+	AdmissionQuery *admissionQuery       `cbor:"12,keyasint,omitempty"`
+	AdmissionReply *admissionReply       `cbor:"13,keyasint,omitempty"`
+	Loans          []balance.Loan        `cbor:"14,keyasint,omitempty"`
+	LoanAcks       []balance.LimitReport `cbor:"15,keyasint,omitempty"`
 }
 
 // sendLoadReports sends load reports to other hosts until ctx is done.
@@ -193,6 +201,14 @@
 		g.answerLoadQuery(m.Host, *m.LoadQuery)
 	case m.LoadReply != nil:
 		g.loadReplies.deliver(m.LoadReply.ID, *m.LoadReply)
+	case m.AdmissionQuery != nil:
+		g.answerAdmissionQuery(m.Host, *m.AdmissionQuery)
+	case m.AdmissionReply != nil:
+		g.admissionReplies.deliver(m.AdmissionReply.ID, *m.AdmissionReply)
+	case len(m.Loans) > 0:
+		g.applyLoans(m.Host, m.Loans)
+	case len(m.LoanAcks) > 0:
+		g.applyLoanAcks(m.Host, m.LoanAcks)
 	default:
 		g.applyMessage(m)
 	}
@@ -216,6 +232,12 @@
 	}
 	if m.Share != nil {
 		g.balancer.Merge(now, m.Host, *m.Share)
+		for _, report := range m.Share.Limits {
+			g.applyLimitReport(now, m.Host, report)
+		}
+	}
+	if m.Limit != nil {
+		g.applyLimitReport(now, m.Host, *m.Limit)
 	}
 	if m.CacheList != nil {
 		g.balancer.ApplyListing(now, *m.CacheList)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -46,6 +46,7 @@
 	call   *activeCall
 	choice balance.Choice
 	flight *balance.Flight // nil for another region
+	sentAt time.Time       // of an attempt at a target
 	ctx    context.Context
 	cancel context.CancelFunc
 	// timer runs for firstByteTimeout; it is nil for attempts without that timeout.
@@ -154,9 +155,9 @@
 		return nil, result{outcome: c.outcomeWithoutRetry(), reason: "the budget for repeats is spent", last: true}
 	}
 	a := c.newAttempt(choice.Prediction.Total(), target.ID)
-	a.choice = choice
+	a.choice, a.sentAt = choice, c.gateway.clock.Now()
 	c.gateway.mu.Lock()
-	a.flight = c.gateway.balancer.Begin(c.gateway.clock.Now(), target.ID, c.work, balance.WithFetch(choice.Fetched))
+	a.flight = c.gateway.balancer.Begin(a.sentAt, target.ID, c.work, balance.WithFetch(choice.Fetched))
 	c.gateway.countLimitedSend(target.ID, c.sendKind())
 	c.gateway.mu.Unlock()
 	c.gateway.sendChange(target.ID, c.work)
@@ -267,7 +268,7 @@
 	headers := c.gateway.protocol.ReadTargetResponse(&response.Header)
 	status := response.Status()
 	if status != fasthttp.StatusMisdirectedRequest { // sent by another target
-		c.gateway.recordTargetState(target, headers)
+		c.gateway.recordTargetState(target, a.sentAt, headers)
 	}
 	if headers.NotRun {
 		return nil, a.handleRefusal(response, headers)
