internal/gateway: log an invalid header of a target once, not with each response

A target that states an invalid limit does so in every response, dozens of times a second; each gave a log line. Hosts now log a value of a header once for each target, and count all of them in the metric invalid_headers_total.

--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -62,7 +62,7 @@
 func (g *Gateway) recordTargetState(t catalogue.Target, sentAt time.Time, headers TargetResponse) {
 	id := t.ID
 	for _, field := range headers.InvalidHeaders {
-		g.log.Info("A target sent an invalid header; its last valid value stays in force.", "Target", id, "Field", field)
+		g.logInvalidHeader(id, field)
 	}
 	if headers.Leaving {
 		g.recordLeaving(t.Incarnation, true)
@@ -86,6 +86,27 @@
 	}
 }
 
+// maxInvalidHeaders bounds the invalid headers that are remembered.
+const maxInvalidHeaders = 1024
+
+// logInvalidHeader logs an invalid header of a target, but not again for each response that
+// repeats it.
+func (g *Gateway) logInvalidHeader(target, field string) {
+	g.metrics.add("invalid_headers_total", 1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	name, _, _ := strings.Cut(field, ":")
+	key := target + " " + name
+	if g.invalidHeaders[key] == field {
+		return
+	}
+	if len(g.invalidHeaders) >= maxInvalidHeaders {
+		clear(g.invalidHeaders)
+	}
+	g.invalidHeaders[key] = field
+	g.log.Info("A target sent an invalid header; its last valid value stays in force.", "Target", target, "Field", field)
+}
+
 // faulty reports whether a target fails so many calls that the target itself is at fault.
 func (g *Gateway) faulty(id string) bool {
 	g.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,6 +116,7 @@
 	lastMessages map[string]messageStamp  // by host
 	// regionLastSeen is when the last message of each other region arrived.
 	regionLastSeen map[string]time.Time
+	invalidHeaders map[string]string // last logged one, by target and name
 	rng            *rand.Rand
 
 	loadReplies      replies[loadReply]
@@ -169,7 +170,7 @@
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
-		avoidUntil: map[string]time.Time{}, lastMessages: map[string]messageStamp{}, regionLastSeen: map[string]time.Time{},
+		avoidUntil: map[string]time.Time{}, lastMessages: map[string]messageStamp{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
