internal/balance, internal/gateway, internal/trace: lend shares of limits at the pace of the region

- Loans went every 400 ms in regions of any size: at 103 hosts the host that grants calls got 257 messages a second for one target.
The interval now grows by 20 ms a host, as that of load reports; a loan states how long it holds, as hosts may differ in their views.
- A host that has just started used no share at all, so that after a restart of all hosts targets with limits got nothing for 3 s.
- trace prints the targets that had no room for a call.

--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -25,6 +25,8 @@
 	// detectionTime is how long simulated hosts take to notice that others are unreachable,
 	// and twice that at most.
 	detectionTime = 800 * time.Millisecond
+	// settleTime is how long a simulated host takes to discover the others.
+	settleTime = 3 * time.Second
 	// limitStart is when the calls start, after all hosts have discovered one another.
 	limitStart = time.Second
 )
@@ -40,6 +42,8 @@
 	PerSecond      float64 // limit that the target states from the start
 	Seconds        float64
 	Steps          []limitStep
+	// Unsettled starts all hosts at the same time as the case.
+	Unsettled bool
 	// From and To bound the seconds over which the use of the limit is measured. LeastUse is
 	// the share of the limit that must be used in them, of the calls if they are fewer.
 	From, To, LeastUse float64
@@ -125,10 +129,19 @@
 	}
 	h.balancer.Configure(r.snapshot)
 	r.hosts = append(r.hosts, h)
-	r.after(time.Duration(r.random.Int64N(int64(balance.LendInterval))), func() { r.lend(h) })
+	r.after(time.Duration(r.random.Int64N(int64(h.balancer.LendInterval()+1))), func() { r.lend(h) })
 	r.after(time.Duration(r.random.Int64N(int64(shareInterval))), func() { r.share(h) })
 }
 
+// restartAll makes all hosts ones that have just started.
+func (r *limitRegion) restartAll() {
+	for _, h := range r.hosts {
+		h.startedAt = r.now
+	}
+	r.updateViews()
+	r.after(settleTime, r.updateViews)
+}
+
 // updateViews passes to each host the hosts that it can reach.
 func (r *limitRegion) updateViews() {
 	for _, h := range r.hosts {
@@ -137,7 +150,7 @@
 }
 
 func (r *limitRegion) updateView(h *limitHost) {
-	view := balance.Hosts{Self: h.name, Settled: r.now.Sub(h.startedAt) > 3*time.Second}
+	view := balance.Hosts{Self: h.name, Settled: r.now.Sub(h.startedAt) >= settleTime}
 	for _, other := range r.hosts {
 		view.Sharers++
 		view.Known++
@@ -174,7 +187,7 @@
 	if h.dead {
 		return
 	}
-	r.after(balance.LendInterval, func() { r.lend(h) })
+	r.after(h.balancer.LendInterval(), func() { r.lend(h) })
 	if h.old {
 		return
 	}
@@ -314,7 +327,7 @@
 	if s.Join {
 		r.addHost()
 		r.updateViewsLater()
-		r.after(4*time.Second, r.updateViews)
+		r.after(settleTime, r.updateViews)
 	}
 	for i := range s.Old {
 		r.hosts[len(r.hosts)-1-i].old = true
@@ -417,6 +430,9 @@
 		It(c.Name, func() {
 			for seed := range uint64(4) {
 				r := newLimitRegion(seed, c.Hosts, c.PerSecond)
+				if c.Unsettled {
+					r.restartAll()
+				}
 				r.run(c)
 				rule := c.rule()
 				Expect(r.mostCalls(c.From)).To(BeNumerically("<=", int(math.Floor(limitFactor*rule*limitWindow.Seconds()+limitSlack))), "seed %d", seed)
--- a/internal/balance/quota.go
+++ b/internal/balance/quota.go
@@ -15,14 +15,22 @@
 // acknowledgement stops lending, and uses its own share again once its last loan has expired.
 
 const (
-	// LendInterval is the interval at which hosts lend their shares.
-	LendInterval = 400 * time.Millisecond
-	// loanTTL is how long the borrower uses a share, and loanMargin how much longer the lender
-	// does not: the longest delay of a message for which a share is never used twice.
-	loanTTL    = 1500 * time.Millisecond
-	loanMargin = 500 * time.Millisecond
-	// ackTTL is how long a host lends and asks after its last acknowledgement.
-	ackTTL = 1300 * time.Millisecond
+	// minLendInterval is the interval at which the hosts of a small region lend their shares.
+	// It grows with the region, so that the traffic of the borrower does not.
+	minLendInterval     = 400 * time.Millisecond
+	lendIntervalPerHost = 20 * time.Millisecond
+	// loanIntervals is how many intervals the borrower uses a share, and loanMargin how much
+	// longer the lender does not: the longest delay of a message for which a share is never
+	// used twice. ackIntervals is how many intervals a host lends and asks after its last
+	// acknowledgement.
+	loanIntervals = 3.75
+	ackIntervals  = 3.25
+	loanMargin    = 500 * time.Millisecond
+	// maxLoan bounds a loan that another host states.
+	maxLoan = time.Minute
+	// minUnsettledSharers is the least number of shares of which a host that has just started,
+	// and may not know all others yet, uses one.
+	minUnsettledSharers = 12
 	// minQuotaTokenTTL and maxQuotaTokenTTL bound how long a token for one call is valid. It
 	// is the interval of two tokens, so that calls do not come in bursts, but long enough for
 	// the gaps between calls at a high rate, and short enough that many hosts that are alone
@@ -66,14 +74,11 @@
 
 // shares returns the number of shares of the target's limit that the host may use.
 func (b *Balancer) shares(now time.Time, t *target) int {
-	if !b.hosts.Settled {
-		return 0
-	}
 	n := 0
 	if !now.Before(t.quota.lentUntil) {
 		n = 1
 	}
-	if t.assigned.host != b.hosts.Self {
+	if t.assigned.host != b.hosts.Self || !b.hosts.Settled {
 		return n
 	}
 	for host, end := range t.quota.loans {
@@ -94,7 +99,18 @@
 }
 
 // sharers returns the number of shares of a limit.
-func (b *Balancer) sharers() int { return max(1, b.hosts.Sharers, len(b.hosts.Live)) }
+func (b *Balancer) sharers() int {
+	n := max(1, b.hosts.Sharers, len(b.hosts.Live))
+	if !b.hosts.Settled {
+		return max(n, minUnsettledSharers)
+	}
+	return n
+}
+
+// LendInterval returns the interval at which the host must lend its shares.
+func (b *Balancer) LendInterval() time.Duration {
+	return max(minLendInterval, time.Duration(len(b.hosts.Live))*lendIntervalPerHost)
+}
 
 // refillQuota adds the tokens since the last call. The target must have a limit.
 func (b *Balancer) refillQuota(now time.Time, t *target) {
@@ -152,15 +168,16 @@
 	if t == nil || !t.limit.Limited {
 		return Admission{Granted: true}
 	}
-	if owner := t.assigned.host; owner != b.hosts.Self && t.quota.isAckedBy(owner, now) {
+	if owner := t.assigned.host; owner != b.hosts.Self && b.isAcked(now, t) {
 		return Admission{Owner: owner}
 	}
 	return b.admitHere(now, t, priority)
 }
 
-// isAckedBy reports whether a host has acknowledged lately to be responsible for the target.
-func (q *quota) isAckedBy(host string, now time.Time) bool {
-	return q.ackedBy == host && now.Sub(q.ackedAt) < ackTTL
+// isAcked reports whether the host that a target is assigned to has lately acknowledged to be
+// responsible for it.
+func (b *Balancer) isAcked(now time.Time, t *target) bool {
+	return t.quota.ackedBy == t.assigned.host && now.Sub(t.quota.ackedAt) < Scale(b.LendInterval(), ackIntervals)
 }
 
 func (b *Balancer) admitHere(now time.Time, t *target, priority int) Admission {
@@ -219,12 +236,13 @@
 // Loan lends a host's share of a target's limit to the host that the target is assigned to, or
 // asks whether that host is responsible for it.
 type Loan struct {
-	// Lent is set if the recipient may use the share for loanTTL.
-	Lent   bool        `cbor:"1,keyasint,omitempty"`
+	// ForMs is how long the recipient may use the share, in milliseconds, 0 if it may not.
+	ForMs  int64       `cbor:"1,keyasint,omitempty"`
 	Report LimitReport `cbor:"2,keyasint"`
 }
 
-// DueLoans returns the loans to send now, by recipient. It must be called at LendInterval.
+// DueLoans returns the loans to send now, by recipient. It must be called at
+// LendInterval.
 func (b *Balancer) DueLoans(now time.Time) map[string][]Loan {
 	out := map[string][]Loan{}
 	for _, t := range b.targets {
@@ -237,11 +255,14 @@
 			continue
 		}
 		q := &t.quota
-		lend := q.isAckedBy(owner, now) && (q.lentTo == owner || !now.Before(q.lentUntil))
+		loan := Loan{Report: t.limitReport(now)}
+		lend := b.isAcked(now, t) && (q.lentTo == owner || !now.Before(q.lentUntil))
 		if lend {
-			q.lentTo, q.lentUntil = owner, now.Add(loanTTL+loanMargin)
+			ttl := Scale(b.LendInterval(), loanIntervals)
+			loan.ForMs = ttl.Milliseconds()
+			q.lentTo, q.lentUntil = owner, now.Add(ttl+loanMargin)
 		}
-		out[owner] = append(out[owner], Loan{Lent: lend, Report: t.limitReport(now)})
+		out[owner] = append(out[owner], loan)
 	}
 	return out
 }
@@ -257,8 +278,8 @@
 	if t.limit.Limited {
 		b.refillQuota(now, t)
 	}
-	if l.Lent {
-		t.quota.loans[host] = now.Add(loanTTL)
+	if l.ForMs > 0 {
+		t.quota.loans[host] = now.Add(min(time.Duration(l.ForMs)*time.Millisecond, maxLoan))
 	} else {
 		delete(t.quota.loans, host)
 	}
--- a/internal/balance/statement_test.go
+++ b/internal/balance/statement_test.go
@@ -219,7 +219,7 @@
 		report, ok := owner.LimitReportFor(start, limitedID)
 		Expect(ok).To(BeTrue())
 		for _, lender := range []string{"h2", "h3", "h4"} {
-			_, ok := owner.ApplyLoan(start, lender, balance.Loan{Lent: true, Report: report})
+			_, ok := owner.ApplyLoan(start, lender, balance.Loan{ForMs: 1500, Report: report})
 			Expect(ok).To(BeTrue())
 		}
 		Expect(owner.Dump(start)[0].Limit.OwnPerSecond).To(Equal(4.0))
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -172,7 +172,7 @@
 func (g *Gateway) lendLimits(ctx context.Context) error {
 	for {
 		g.mu.Lock()
-		loans := g.balancer.DueLoans(g.clock.Now())
+		loans, interval := g.balancer.DueLoans(g.clock.Now()), g.balancer.LendInterval()
 		g.mu.Unlock()
 		for host, list := range loans {
 			g.sendMessage(peerMessage{Loans: list}, g.membersByName([]string{host}))
@@ -180,7 +180,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-g.clock.After(balance.LendInterval):
+		case <-g.clock.After(interval):
 		}
 	}
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -42,6 +42,8 @@
 	TookMs   int64    `json:"TookMs"`
 	Sends    int      `json:"Sends"`
 	Steps    []string `json:"Steps"`
+	// Diverted are the targets that had no room for the call under their limits.
+	Diverted []string `json:"Diverted"`
 	// Since is when the call arrived at the host that the caller chose.
 	Since time.Time `json:"Since"`
 }
@@ -104,6 +106,9 @@
 			origin = "from another host"
 		}
 		fmt.Fprintf(&b, "%s  %s, %s: %s, route %s, service %s, version %d\n", l.Since.Format(timeFormat), l.Host, origin, l.Message, l.Route, l.Service, l.Version)
+		if len(l.Diverted) > 0 {
+			fmt.Fprintf(&b, "    passed over at their limits: %s\n", strings.Join(l.Diverted, ", "))
+		}
 		for _, step := range l.Steps {
 			fmt.Fprintf(&b, "    %s\n", step)
 		}
