--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -248,6 +249,26 @@
 		Expect(sent(balancers[:1], 5*time.Second)).To(Equal(0))
 	})
 
+	It("get no more calls than tolerated from two hosts that each consider themselves the sender", func() {
+		const (
+			overage = 1.5 // tolerated multiple of the rate
+			slack   = 3
+			seconds = 10
+		)
+		names := []string{"h1", "h2", "h3", "h4", "h5"}
+		balancers := coldBalancers(names...)
+		sender := balancers[0].CoordinatorOf("t00")
+		others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == sender })
+		for i, b := range balancers {
+			if names[i] != sender {
+				b.SetHosts(balance.Hosts{Self: names[i], Live: others, Known: len(names), Settled: true})
+			}
+		}
+		got := sent(balancers, seconds*time.Second)
+		Expect(got).To(BeNumerically(">", coldRate*seconds), "two hosts send")
+		Expect(got).To(BeNumerically("<=", coldRate*overage*seconds+slack))
+	})
+
 	It("get no calls from a host that has just started", func() {
 		balancers := coldBalancers("h1")
 		balancers[0].SetHosts(balance.Hosts{Self: "h1", Live: []string{"h1"}, Known: 1})
