--- a/internal/balance/statement_test.go
+++ b/internal/balance/statement_test.go
@@ -114,6 +114,19 @@
 		Expect(later).To(HaveLen(len(before)))
 	})
 
+	It("is reported in a way that hosts of a version without limits can read the rest", func() {
+		b := newBalancer(2)
+		record(b, 0, 100, limited(2))
+		b.Begin(at(200), "t01", promptWork(1000))
+		data, err := cbor.Marshal(b.Share(at(200)))
+		Expect(err).NotTo(HaveOccurred())
+		var older struct {
+			Targets map[string][]int `cbor:"1,keyasint"`
+		}
+		Expect(cbor.Unmarshal(data, &older)).To(Succeed())
+		Expect(older.Targets).To(HaveKeyWithValue("t01", HaveLen(5)))
+	})
+
 	// newOwner returns a balancer that grants calls to a target with a limit, and a second host.
 	newOwner := func(perSecond float64) *balance.Balancer {
 		b := newBalancer(2)
