internal/balance, internal/gateway: refuse admissions that are handled late

A host that was paused between its question and the reply found both the reply and the timeout ready when it woke, and half of the time sent the call with a permission that was seconds old. Replies are now judged by the steady clock when they are handled; the new unit test states it.

--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -20,8 +20,6 @@
 	limitFactor = 1.5
 	limitSlack  = 5
 	limitedID   = "t00"
-	// admissionTimeout is how long a simulated host waits for the host that grants calls.
-	admissionTimeout = 30 * time.Millisecond
 	// detectionTime is how long simulated hosts take to notice that others are unreachable,
 	// and twice that at most.
 	detectionTime = 800 * time.Millisecond
@@ -243,7 +241,7 @@
 		r.finish(h, id, w, denials, admission)
 		return
 	}
-	answered := false
+	answered, askedAt := false, r.now
 	r.deliver(h, admission.Owner, func(owner *limitHost) {
 		decision := owner.balancer.AdmitFor(r.now, id, w.Priority)
 		r.deliver(owner, h.name, func(h *limitHost) {
@@ -251,13 +249,10 @@
 				return
 			}
 			answered = true
-			if !decision.Granted {
-				h.balancer.RecordDenial(r.now, id, w.Priority, decision.Wait)
-			}
-			r.finish(h, id, w, denials, decision)
+			r.finish(h, id, w, denials, h.balancer.AcceptReply(r.now, askedAt, id, w.Priority, decision))
 		})
 	})
-	r.after(admissionTimeout, func() {
+	r.after(balance.AdmissionTimeout, func() {
 		if !answered {
 			answered = true
 			h.balancer.RecordNoAnswer(r.now, id, w.Priority)
--- a/internal/balance/quota.go
+++ b/internal/balance/quota.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"time"
-)
+import "time"
 
 // All hosts of a region share the limit of a target. Each of the hosts that may be sending has
 // an equal share, which it may use without asking anyone: hosts that are cut off from one
@@ -15,6 +13,9 @@
 // acknowledgement stops lending, and uses its own share again once its last loan has expired.
 
 const (
+	// AdmissionTimeout is how long a call waits for an admission, and how long an admission is
+	// valid: several times the latency between data centres of a region.
+	AdmissionTimeout = 30 * time.Millisecond
 	// minLendInterval is the interval at which the hosts of a small region lend their shares.
 	// It grows with the region, so that the traffic of the borrower does not.
 	minLendInterval     = 400 * time.Millisecond
@@ -207,17 +208,25 @@
 	return b.admitHere(now, t, priority)
 }
 
-// RecordDenial records that a target has no room for a call of the given priority for a
-// duration, as the assigned host says.
-func (b *Balancer) RecordDenial(now time.Time, id string, priority int, wait time.Duration) {
-	if t := b.targets[id]; t != nil {
-		t.quota.close(now.Add(min(max(wait, minQuotaWait), maxQuotaTokenTTL)), priority)
+// AcceptReply returns the decision of the assigned host that this host asked at askedAt. A
+// reply that this host handles late, for example after a pause of its process, is no
+// admission: the token has expired.
+func (b *Balancer) AcceptReply(now, askedAt time.Time, id string, priority int, reply Admission) Admission {
+	if now.Sub(askedAt) > AdmissionTimeout {
+		b.RecordNoAnswer(now, id, priority)
+		return Admission{}
+	}
+	if t := b.targets[id]; t != nil && !reply.Granted {
+		t.quota.close(now.Add(min(max(reply.Wait, minQuotaWait), maxQuotaTokenTTL)), priority)
 	}
+	return reply
 }
 
-// RecordNoAnswer records that the assigned host of a target did not answer.
+// RecordNoAnswer records that the assigned host of a target did not answer in time.
 func (b *Balancer) RecordNoAnswer(now time.Time, id string, priority int) {
-	b.RecordDenial(now, id, priority, unansweredQuotaWait)
+	if t := b.targets[id]; t != nil {
+		t.quota.close(now.Add(unansweredQuotaWait), priority)
+	}
 }
 
 // atLimit reports whether the target is known to have no room for a call.
--- a/internal/balance/statement_test.go
+++ b/internal/balance/statement_test.go
@@ -246,4 +246,13 @@
 		}
 		Expect(granted).To(BeNumerically("<=", 5))
 	})
+
+	It("does not send calls that were granted before it was paused", func() {
+		b := newBalancer(2)
+		b.RecordLimit(start, start, limitedID, limitedID+"@1", balance.LimitStatement{Limited: true, PerSecond: 4})
+		granted := balance.Admission{Granted: true}
+		Expect(b.AcceptReply(start.Add(2*time.Millisecond), start, limitedID, 0, granted).Granted).To(BeTrue())
+		Expect(b.AcceptReply(start.Add(5*time.Second), start, limitedID, 0, granted).Granted).To(BeFalse())
+		Expect(chooseID(b, start.Add(5*time.Second), promptWork(1000))).To(Equal("t01"))
+	})
 })
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -9,14 +9,9 @@
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 )
 
-const (
-	// admissionTimeout bounds a call's wait for an admission reply: several times the latency
-	// between data centres of a region.
-	admissionTimeout = 30 * time.Millisecond
-	// maxDenials is the number of denials after which a call is sent only to targets that have
-	// no limit.
-	maxDenials = 3
-)
+// maxDenials is the number of denials after which a call is sent only to targets that have no
+// limit.
+const maxDenials = 3
 
 // admissionQuery asks the host that a target is assigned to whether a call may be sent there.
 type admissionQuery struct {
@@ -76,19 +71,17 @@
 // returns false if that host does not answer in time.
 func (c *activeCall) queryAdmission(owner, target string) (balance.Admission, bool) {
 	g := c.gateway
+	askedAt := g.clock.Now()
 	id, replies := g.admissionReplies.expect(1)
 	defer g.admissionReplies.forget(id)
 	g.sendMessage(peerMessage{AdmissionQuery: &admissionQuery{ID: id, Target: target, Priority: c.work.Priority}}, g.membersByName([]string{owner}))
 	select {
 	case r := <-replies:
-		admission := balance.Admission{Granted: r.Granted, Wait: time.Duration(r.WaitMs) * time.Millisecond}
-		if !r.Granted {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.balancer.RecordDenial(g.clock.Now(), target, c.work.Priority, admission.Wait)
-		}
-		return admission, true
-	case <-g.clock.After(admissionTimeout):
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		reply := balance.Admission{Granted: r.Granted, Wait: time.Duration(r.WaitMs) * time.Millisecond}
+		return g.balancer.AcceptReply(g.clock.Now(), askedAt, target, c.work.Priority, reply), true
+	case <-g.clock.After(balance.AdmissionTimeout):
 	case <-c.ctx.Done():
 	}
 	g.mu.Lock()
