--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 //	peermessage.go  load reports between hosts
 //	cachelist.go    prompt caches of targets
 //	admission.go    limits of targets that the hosts of a region share
+//	replies.go      replies of other hosts that calls wait for
 //	members.go      live hosts, readiness and the directory for callers
 //	updates.go      store updates that one host reads for its data centre
 //	peers.go        requests between hosts
