internal/gateway: apply reports of limits whatever the order of messages

A report that another message of its host overtook was dropped as outdated, and could make the other way round a report of load be dropped. Reports of limits carry their own times.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -140,6 +140,14 @@
 	}
 }
 
+// handleLimitReport records the report of another host, whatever the order in which its messages
+// arrive: reports state when they were made.
+func (g *Gateway) handleLimitReport(host string, l balance.LimitReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyLimitReport(g.clock.Now(), host, l)
+}
+
 // applyLimitReport records the report of another host. The caller holds g.mu.
 func (g *Gateway) applyLimitReport(now time.Time, host string, l balance.LimitReport) {
 	if change, changed := g.balancer.ApplyLimitReport(now, host, l); changed {
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -205,6 +205,8 @@
 		g.answerAdmissionQuery(m.Host, *m.AdmissionQuery)
 	case m.AdmissionReply != nil:
 		g.admissionReplies.deliver(m.AdmissionReply.ID, *m.AdmissionReply)
+	case m.Limit != nil:
+		g.handleLimitReport(m.Host, *m.Limit)
 	case len(m.Loans) > 0:
 		g.applyLoans(m.Host, m.Loans)
 	case len(m.LoanAcks) > 0:
@@ -236,9 +238,6 @@
 			g.applyLimitReport(now, m.Host, report)
 		}
 	}
-	if m.Limit != nil {
-		g.applyLimitReport(now, m.Host, *m.Limit)
-	}
 	if m.CacheList != nil {
 		g.balancer.ApplyListing(now, *m.CacheList)
 	}
