--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -158,7 +158,7 @@
 		return LimitChange{}, false
 	}
 	if !before.Limited {
-		t.quota.reset(now, b.random.Float64())
+		t.quota.reset(b.random.Float64())
 	}
 	t.quota.closedUntil = [priorityClasses]time.Time{}
 	change := LimitChange{Target: t.ID, Now: t.limit.LimitStatement, Before: before.LimitStatement, From: t.limit.host}
@@ -209,7 +209,7 @@
 func (b *Balancer) restoreLimit(t *target) {
 	if r, ok := b.formerLimits[t.Incarnation]; ok {
 		t.limit = r
-		t.quota.reset(r.receivedAt, b.random.Float64())
+		t.quota.reset(b.random.Float64())
 		delete(b.formerLimits, t.Incarnation)
 	}
 }
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -23,6 +24,8 @@
 	// detectionTime is how long simulated hosts take to notice that others are unreachable,
 	// and twice that at most.
 	detectionTime = 800 * time.Millisecond
+	// knowTime is how long all hosts take to learn of a change of the limit.
+	knowTime = 2 * time.Second
 	// settleTime is how long a simulated host takes to discover the others.
 	settleTime = 3 * time.Second
 	// limitStart is when the calls start, after all hosts have discovered one another.
@@ -97,11 +100,23 @@
 	snapshot *catalogue.Snapshot
 	hosts    []*limitHost
 	limit    float64 // stated by the target, negative for none
+	changes  []limitAt
+	cuts     []cutSpan
+	loss     float64 // share of messages that are lost
 	arrivals []time.Time
 	calls    int
 	refused  int
 }
 
+// limitAt is a limit that the target states from a time on.
+type limitAt struct {
+	at        time.Time
+	perSecond float64
+}
+
+// cutSpan is a time in which hosts are cut off from one another.
+type cutSpan struct{ from, to time.Time }
+
 type limitHost struct {
 	name      string
 	balancer  *balance.Balancer
@@ -173,7 +188,7 @@
 	for _, h := range r.hosts {
 		if h.name == to && h != from {
 			r.after(messageDelay/2+time.Duration(r.random.Int64N(int64(messageDelay))), func() {
-				if !h.dead && !h.old && r.reaches(from, h) {
+				if !h.dead && !h.old && r.reaches(from, h) && r.random.Float64() >= r.loss {
 					f(h)
 				}
 			})
@@ -308,7 +323,7 @@
 		r.cut(s.Parts, s.OneWay)
 	}
 	if s.Limit != nil {
-		r.limit = *s.Limit
+		r.setLimit(*s.Limit)
 	}
 	for _, h := range r.hosts[:s.Kill] {
 		h.dead = true
@@ -330,7 +345,74 @@
 	r.updateViewsLater()
 }
 
+func (r *limitRegion) setLimit(perSecond float64) {
+	r.limit = perSecond
+	r.changes = append(r.changes, limitAt{at: r.now, perSecond: perSecond})
+}
+
+// highestLimit returns the highest limit that the target stated between two times, or false if
+// it stated none for some of that time.
+func (r *limitRegion) highestLimit(from, to time.Time) (float64, bool) {
+	highest := 0.0
+	if from.Before(r.changes[0].at) {
+		return 0, false
+	}
+	for i, c := range r.changes {
+		ended := i+1 < len(r.changes) && !r.changes[i+1].at.After(from)
+		if ended || c.at.After(to) {
+			continue
+		}
+		if c.perSecond < 0 {
+			return 0, false
+		}
+		highest = max(highest, c.perSecond)
+	}
+	return highest, true
+}
+
+// knownSince returns the time from which limits may still be in force at some host at the given
+// time. Hosts that are cut off learn of a change only from their own calls.
+func (r *limitRegion) knownSince(t time.Time) time.Time {
+	since := t.Add(-knowTime)
+	for _, c := range slices.Backward(r.cuts) {
+		if c.to.IsZero() || !c.to.Before(since) {
+			since = earlier(since, c.from.Add(-knowTime))
+		}
+	}
+	return since
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// checkWindows checks that the target got no more calls in any window than its limits allowed.
+func (r *limitRegion) checkWindows(label string) {
+	for i, first := range r.arrivals {
+		limit, ok := r.highestLimit(r.knownSince(first), first.Add(limitWindow))
+		if !ok {
+			continue
+		}
+		n := 0
+		for _, at := range r.arrivals[i:] {
+			if at.Sub(first) < limitWindow {
+				n++
+			}
+		}
+		ExpectWithOffset(1, n).To(BeNumerically("<=", int(limitFactor*limit*limitWindow.Seconds()+limitSlack)), "%s, from %s", label, first.Sub(start))
+	}
+}
+
 func (r *limitRegion) cut(parts []int, oneWay bool) {
+	if n := len(r.cuts); n > 0 && r.cuts[n-1].to.IsZero() {
+		r.cuts[n-1].to = r.now
+	}
+	if len(parts) > 0 {
+		r.cuts = append(r.cuts, cutSpan{from: r.now})
+	}
 	part, left := 0, 0
 	if len(parts) > 0 {
 		left = parts[0]
@@ -361,7 +443,7 @@
 	t := r.snapshot.Targets[limitedID]
 	if restart {
 		t.Incarnation += "+"
-		r.limit = -1
+		r.setLimit(-1)
 	}
 	r.snapshot.Targets[limitedID] = t
 	for _, h := range r.hosts {
@@ -439,4 +521,49 @@
 			}
 		})
 	}
+
+	It("keep it in any series of cuts, deaths, joins, changes and restarts", func() {
+		const seeds, span, warmUp = 40, 50.0, 6.0
+		limits := []float64{-1, 0, 0.5, 1, 2.2, 5, 12, 40}
+		for seed := range uint64(seeds) {
+			random := rand.New(rand.NewPCG(seed, seed))
+			hosts := 2 + random.IntN(12)
+			c := limitCase{Hosts: hosts, CallsPerSecond: 80, PerSecond: 2.2, Seconds: span}
+			for at := warmUp; at < span-4; at += 0.5 + 4*random.Float64() {
+				c.Steps = append(c.Steps, randomStep(random, at, hosts, limits))
+			}
+			r := newLimitRegion(seed, hosts, c.PerSecond)
+			// Hosts cannot know of the limit before the first call.
+			r.changes = []limitAt{{at: start.Add(limitStart), perSecond: c.PerSecond}}
+			r.loss = 0.05
+			r.run(c)
+			r.checkWindows(fmt.Sprintf("seed %d", seed))
+		}
+	})
 })
+
+// randomStep returns a change of the simulated region. Deaths leave at least one host.
+func randomStep(random *rand.Rand, at float64, hosts int, limits []float64) limitStep {
+	s := limitStep{At: at}
+	switch random.IntN(8) {
+	case 0:
+		s.Parts = []int{1 + random.IntN(hosts-1), hosts}
+		s.OneWay = random.IntN(3) == 0
+	case 1:
+		s.Parts = []int{1, 1}
+	case 2, 3:
+		s.Parts = []int{}
+	case 4:
+		s.Kill = random.IntN(hosts)
+	case 5:
+		s.Join = true
+	case 6:
+		s.Evacuate = true
+		if random.IntN(3) == 0 {
+			s.Evacuate, s.Restart = false, true
+		}
+	default:
+		s.Limit = &limits[random.IntN(len(limits))]
+	}
+	return s
+}
--- a/internal/balance/quota.go
+++ b/internal/balance/quota.go
@@ -49,7 +49,7 @@
 // quota is the part of a host in sharing the limit of a target.
 type quota struct {
 	tokens     tokenBucket
-	refilledAt time.Time
+	refilledAt time.Time // zero before the first refill
 	// loans are the ends of the loans to this host, by lender.
 	loans map[string]time.Time
 	// lentTo is the host that this one has lent its share to, until lentUntil.
@@ -67,10 +67,10 @@
 	urgentRun      int
 }
 
-// reset starts a quota for a target that has just stated a limit. Phase is a number from 0 to
-// 1 that differs from host to host.
-func (q *quota) reset(now time.Time, phase float64) {
-	*q = quota{tokens: tokenBucket{fraction: phase}, refilledAt: now, loans: map[string]time.Time{}, lentTo: q.lentTo, lentUntil: q.lentUntil}
+// reset starts a quota for a target that has stated a limit. Phase is a number from 0 to 1 that
+// differs from host to host.
+func (q *quota) reset(phase float64) {
+	*q = quota{tokens: tokenBucket{fraction: phase}, loans: map[string]time.Time{}, lentTo: q.lentTo, lentUntil: q.lentUntil}
 }
 
 // shares returns the number of shares of the target's limit that the host may use.
@@ -116,6 +116,9 @@
 // refillQuota adds the tokens since the last call. The target must have a limit.
 func (b *Balancer) refillQuota(now time.Time, t *target) {
 	rate, q := b.quotaRate(now, t), &t.quota
+	if q.refilledAt.IsZero() {
+		q.refilledAt = now
+	}
 	ttl := quotaTokenTTL(rate)
 	q.tokens.add(now, min(rate*now.Sub(q.refilledAt).Seconds(), max(1, rate*ttl.Seconds())), ttl)
 	q.refilledAt = now
