internal/link, internal/gossip, internal/gateway: close sockets before receivers return

What was seen: a test that starts a host again right after its stop failed once with "address already in use". Cause: a receiver that got a datagram between the end of its context and the closing of its socket returned and took back the function that closes it. Both receivers had the same code; they now share link.CloseWith, which has closed when it returns.

--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
@@ -170,8 +171,7 @@
 
 // receiveMessages handles the messages of other hosts until ctx is done.
 func (g *Gateway) receiveMessages(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = g.messageConn.Close() })
-	defer stop()
+	defer link.CloseWith(ctx, g.messageConn)()
 	buffer := make([]byte, messageBufferBytes)
 	for {
 		n, _, err := g.messageConn.ReadFrom(buffer)
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/clock"
+	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/ring"
 	"github.com/sequoiarack/sequoiarack/internal/seal"
@@ -204,8 +205,7 @@
 
 // Receive reads datagrams until ctx ends, and then closes the connection.
 func (s *Service) Receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
-	defer stop()
+	defer link.CloseWith(ctx, s.conn)()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, from, err := s.conn.ReadFrom(buffer)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -67,3 +68,20 @@
 func (s *System) ListenPacket(address string) (net.PacketConn, error) {
 	return net.ListenPacket("udp", address)
 }
+
+// CloseWith closes c when ctx is done, which ends the reads that wait for it, or when the
+// returned function is called. When that function returns, c is closed in any case.
+func CloseWith(ctx context.Context, c io.Closer) (closeNow func()) {
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = c.Close()
+	})
+	return func() {
+		if stop() {
+			_ = c.Close()
+			return
+		}
+		<-closed
+	}
+}
