internal/balance, internal/gateway: tidy what limits added

- The report for other hosts is made only after a change of a limit, not for each response.
- One function each for the class of a priority and for targets that are usable and not ejected, in place of six and three copies; one for how long a target has no room; one in the test for the calls of a window.
- QueueForLimit calls LimitWait instead of repeating it.

Behaviour and assertions are the same.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -137,6 +137,11 @@
 	return !t.backsOff(now) && b.inService(now, t)
 }
 
+// available reports whether the target is usable and does not fail its calls.
+func (b *Balancer) available(now time.Time, t *target) bool {
+	return b.usable(now, t) && !t.health.ejected(now)
+}
+
 // inService reports whether the target is ready, and warm or allowed to get a call while
 // cold.
 func (b *Balancer) inService(now time.Time, t *target) bool {
@@ -316,7 +321,7 @@
 	var preferred, avoided, excluded []*target
 	for _, t := range b.services[w.Service] {
 		switch {
-		case !b.usable(now, t), t.atLimit(now, w.Priority), t.limit.Limited && w.NoLimited:
+		case !b.usable(now, t), t.limitWait(now, w.Priority) > 0, t.limit.Limited && w.NoLimited:
 		case slices.Contains(exclude, t.ID):
 			excluded = append(excluded, t)
 		case t.health.ejected(now), t.peersBackOff(now), t.unresponsive(now):
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -253,11 +253,8 @@
 // QueueForLimit counts a caller that was told to come back when the service's targets with a
 // limit have room for its call. Callers are spread at the rate of the limits.
 func (b *Balancer) QueueForLimit(now time.Time, service string) {
-	if interval, ok := b.limitInterval(now, service); ok {
-		next := later(now, b.limitQueues[service]).Add(interval)
-		if next.Sub(now) <= maxLimitQueue {
-			b.limitQueues[service] = next
-		}
+	if wait, ok := b.LimitWait(now, service); ok && wait <= maxLimitQueue {
+		b.limitQueues[service] = now.Add(wait)
 	}
 }
 
@@ -269,7 +266,7 @@
 func (b *Balancer) limitInterval(now time.Time, service string) (time.Duration, bool) {
 	rate := 0.0
 	for _, t := range b.services[service] {
-		if t.limit.Limited && b.usable(now, t) && !t.health.ejected(now) {
+		if t.limit.Limited && b.available(now, t) {
 			rate += t.limit.rate()
 		}
 	}
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -396,13 +396,7 @@
 		if !ok {
 			continue
 		}
-		n := 0
-		for _, at := range r.arrivals[i:] {
-			if at.Sub(first) < limitWindow {
-				n++
-			}
-		}
-		ExpectWithOffset(1, n).To(BeNumerically("<=", int(limitFactor*limit*limitWindow.Seconds()+limitSlack)), "%s, from %s", label, first.Sub(start))
+		ExpectWithOffset(1, r.callsInWindow(i)).To(BeNumerically("<=", int(limitFactor*limit*limitWindow.Seconds()+limitSlack)), "%s, from %s", label, first.Sub(start))
 	}
 }
 
@@ -462,6 +456,18 @@
 	return float64(n) / (to - from)
 }
 
+// callsInWindow returns the number of calls at the target in the window that starts with the
+// given arrival.
+func (r *limitRegion) callsInWindow(first int) int {
+	n := 0
+	for _, at := range r.arrivals[first:] {
+		if at.Sub(r.arrivals[first]) < limitWindow {
+			n++
+		}
+	}
+	return n
+}
+
 // mostCalls returns the largest number of calls at the target within any window, from a time
 // in seconds on.
 func (r *limitRegion) mostCalls(from float64) int {
@@ -470,13 +476,7 @@
 		if first.Sub(start).Seconds() < from {
 			continue
 		}
-		n := 0
-		for _, at := range r.arrivals[i:] {
-			if at.Sub(first) < limitWindow {
-				n++
-			}
-		}
-		most = max(most, n)
+		most = max(most, r.callsInWindow(i))
 	}
 	return most
 }
--- a/internal/balance/quota.go
+++ b/internal/balance/quota.go
@@ -196,7 +196,7 @@
 // close records that the target has no room before a time for calls of the given priority,
 // nor for less urgent ones.
 func (q *quota) close(until time.Time, priority int) {
-	for class := min(priority, priorityClasses-1); class < priorityClasses; class++ {
+	for class := priorityClass(priority); class < priorityClasses; class++ {
 		q.closedUntil[class] = until
 	}
 }
@@ -232,17 +232,12 @@
 	}
 }
 
-// atLimit reports whether the target is known to have no room for a call.
-func (t *target) atLimit(now time.Time, priority int) bool {
-	return t.limit.Limited && now.Before(t.quota.closedUntil[min(priority, priorityClasses-1)])
-}
-
 // limitWait returns how long the target has no room for a call, as far as this host knows.
 func (t *target) limitWait(now time.Time, priority int) time.Duration {
-	if !t.atLimit(now, priority) {
+	if !t.limit.Limited {
 		return 0
 	}
-	return t.quota.closedUntil[min(priority, priorityClasses-1)].Sub(now)
+	return max(0, t.quota.closedUntil[priorityClass(priority)].Sub(now))
 }
 
 // Loan lends a host's share of a target's limit to the host that the target is assigned to, or
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -43,7 +43,7 @@
 }
 
 func classOf(w Work) callClass {
-	return callClass{service: w.Service, priority: min(w.Priority, priorityClasses-1)}
+	return callClass{service: w.Service, priority: priorityClass(w.Priority)}
 }
 
 type sentWork struct {
@@ -129,7 +129,7 @@
 }
 
 func (r *regionState) candidate(now time.Time, region string, s ServiceState, w Work) RegionCandidate {
-	c := RegionCandidate{Region: region, RoundTrip: r.roundTrip, Pause: time.Duration(s.PauseMs) * time.Millisecond, Wait: time.Duration(s.WaitMs[min(w.Priority, 1)]) * time.Millisecond}
+	c := RegionCandidate{Region: region, RoundTrip: r.roundTrip, Pause: time.Duration(s.PauseMs) * time.Millisecond, Wait: time.Duration(s.WaitMs[priorityClass(w.Priority)]) * time.Millisecond}
 	tokens := 0
 	for _, sent := range r.sent {
 		if sent.service == w.Service && now.Sub(sent.at) <= sentWindow {
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -79,7 +79,7 @@
 	flights, slots := 0, 0
 	for _, t := range b.services[service] {
 		switch {
-		case !b.usable(now, t) || t.health.ejected(now):
+		case !b.available(now, t):
 		case t.limit.Limited:
 			out.Capacity += b.limitedCapacity(t)
 		default:
@@ -117,7 +117,7 @@
 	services, limited := map[string][]*target{}, map[string][]*target{}
 	for _, t := range b.targets {
 		switch {
-		case !b.usable(now, t) || t.health.ejected(now):
+		case !b.available(now, t):
 		case t.limit.Limited:
 			limited[t.Service] = append(limited[t.Service], t)
 		default:
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -14,6 +14,9 @@
 // 0, and all others.
 const priorityClasses = 2
 
+// priorityClass returns the class of a priority.
+func priorityClass(priority int) int { return min(priority, priorityClasses-1) }
+
 // TargetShare is the load that one host's calls put on a target.
 type TargetShare struct {
 	Flights int
@@ -117,7 +120,7 @@
 	share := TargetShare{Flights: len(t.inFlight), PauseMs: int(pause.Milliseconds()), BackoffMs: millisecondsLeft(now, t.backoffUntil)}
 	for f := range t.inFlight {
 		if !f.firstByteSeen {
-			share.Backlog[min(f.work.Priority, priorityClasses-1)] += f.unread
+			share.Backlog[priorityClass(f.work.Priority)] += f.unread
 		}
 	}
 	return share
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -104,10 +104,7 @@
 	if !c.route.MayServe(c.gateway.settings.Region) {
 		return 0
 	}
-	wait, ok := c.gateway.balancer.LimitWait(now, c.service)
-	if !ok {
-		return 0
-	}
+	wait, _ := c.gateway.balancer.LimitWait(now, c.service) // 0 if there is none
 	return wait
 }
 
@@ -129,11 +126,12 @@
 	g.mu.Lock()
 	now := g.clock.Now()
 	change, changed := g.balancer.RecordLimit(now, sentAt, t.ID, t.Incarnation, s)
-	report, reported := g.balancer.LimitReportFor(now, t.ID)
-	g.mu.Unlock()
 	if !changed {
+		g.mu.Unlock()
 		return
 	}
+	report, reported := g.balancer.LimitReportFor(now, t.ID)
+	g.mu.Unlock()
 	g.logLimitChange(change)
 	if reported {
 		g.sendMessage(peerMessage{Limit: &report}, g.regionPeers())
