internal/gateway: log the calls that a target breaks off, with the parts of their prompts

What the logs lacked: which calls ran at a target that crashed, whether their answers had begun, and what their prompts share. No decision changes.

--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"strings"
 	"time"
@@ -175,6 +176,36 @@
 	}
 }
 
+// logBrokenOff logs a call that a target broke off after the given number of events, with the
+// parts of its prompt that other calls may share.
+func (c *activeCall) logBrokenOff(t catalogue.Target, events int) {
+	c.gateway.metrics.add("calls_broken_off_total", 1)
+	c.gateway.log.Info("A target broke off a call.", "ID", c.meta.ID, "Route", c.route.Name, "Target", t.Incarnation, "Events", events,
+		"Attempt", c.attempts, "Parts", c.partKeys())
+}
+
+// partKeys returns a keyed digest of each part of the prompt that other calls may share: all
+// but the last one, maxPartKeys at most.
+func (c *activeCall) partKeys() []string {
+	parts := c.meta.Parts
+	if len(parts) == 0 {
+		return nil
+	}
+	parts = parts[:min(len(parts)-1, maxPartKeys)]
+	keys := make([]string, len(parts))
+	for i, part := range parts {
+		keys[i] = c.gateway.signer.Digest([]byte(c.service), binary.BigEndian.AppendUint64(nil, part.ID))[:partKeyLength]
+	}
+	return keys
+}
+
+const (
+	// maxPartKeys bounds the parts of one prompt that are examined after a crash.
+	maxPartKeys = 64
+	// partKeyLength is the length of a part's digest, in hexadecimal digits.
+	partKeyLength = 24
+)
+
 // probeSuspects checks whether targets that broke off a call still accept connections, until
 // ctx is done. A lost response of a running target is no sign that the call is harmful.
 func (g *Gateway) probeSuspects(ctx context.Context) error {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -241,6 +241,9 @@
 // could.
 func (r *relay) resume() bool {
 	c, last := r.call, r.upstream.stream.lastID
+	if a := r.upstream.attempt; a.flight != nil && a.ctx.Err() == nil {
+		c.logBrokenOff(a.choice.Target, r.events)
+	}
 	r.upstream.attempt.end(r.upstream.attempt.resultUnlessCancelled(balance.Silent))
 	r.upstream.response.Close()
 	if last == "" || !c.mayRetry() {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -248,6 +248,7 @@
 	cancelled := a.ctx.Err() != nil
 	a.end(a.resultUnlessCancelled(balance.Silent))
 	if !cancelled {
+		a.call.logBrokenOff(a.choice.Target, 0)
 		a.call.gateway.reportSuspectedCrash(a.call.digest, a.choice.Target)
 	}
 	return result{outcome: core.Unknown, reason: reason}
