internal/quarantine, internal/gateway: quarantine the part of a prompt that crashes targets

Cause: crashes were counted by the digest of the whole request, and no two of these requests are alike. Class: evidence that is kept by an identity finer than the cause. Ruled out: reports that come too late (known to all hosts 0.21 s after a crash), and a culprit that was not among the calls reported (each crash had one or two calls without an event, always with the same part).

Change: crashes and answers count for each part of a prompt that other calls may share. Of the calls that wait for their answer to begin when a target crashes, the parts under which no answer began before are suspected. Calls with a suspected part run one at a time, as trials that the fleet knows of; an answer whose target lives on clears the part, a crash in a trial quarantines it, and a quarantined part explains its crashes, so that the other parts of them are no longer suspected. Parts with answers on record are suspected only after three crashes without a further answer. Broken calls are examined by target and at once, in place of one after the other.

Evidence: the test of the stand-in failed before (57 and 62 requests with the part reached targets, 8 may) and passes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,7 +9,6 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/core"
-	"github.com/sequoiarack/sequoiarack/internal/quarantine"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
@@ -46,6 +45,11 @@
 	firstByteAt  time.Time
 	longestPause time.Duration
 	maybeRun     bool // an attempt may have run the call
+
+	keys      []string // of the parts of the prompt; see partKeys
+	tried     []string // keys of the suspected parts for which the call is a trial
+	trials    int      // number of attempts as a trial
+	brokenOff bool     // a target broke off the call before its answer began
 }
 
 // reply is the response to a call: an upstream response, or one of the host itself.
@@ -55,6 +59,7 @@
 	outcome    core.Outcome
 	reason     string
 	upstream   *upstreamResponse // nil for a response of the host itself
+	suspect    bool              // the call is refused because of a part of its prompt
 }
 
 // hostReply returns a response of the host itself. Its outcome is NotRun only if no attempt
@@ -75,11 +80,11 @@
 
 // run makes attempts until one yields a response or no further attempt is allowed.
 func (c *activeCall) run() reply {
-	if c.gateway.quarantined(c.digest) {
-		return c.hostReply("the call has ended several targets", quarantineRetryAfter)
-	}
 	denials := 0
 	for {
+		if r, refused := c.quarantined(); refused {
+			return r
+		}
 		if c.ctx.Err() != nil {
 			return c.hostReply("the time is over", shortRetryAfter)
 		}
@@ -98,6 +103,9 @@
 			denials++
 			continue
 		}
+		if decision.Local && !c.startTrial() {
+			return c.suspectReply()
+		}
 		var u *upstreamResponse
 		var r result
 		switch {
@@ -115,11 +123,21 @@
 			return reply{status: u.response.Status(), outcome: core.Run, upstream: u, reason: decision.Reason}
 		}
 		if !c.recordFailedAttempt(r) {
-			return c.hostReply(r.reason, c.gateway.jitter(shortRetryAfter))
+			return c.failureReply(r)
 		}
 	}
 }
 
+// failureReply returns the reply to a call whose last attempt failed.
+func (c *activeCall) failureReply(r result) reply {
+	if !r.suspect {
+		return c.hostReply(r.reason, c.gateway.jitter(shortRetryAfter))
+	}
+	out := c.hostReply(r.reason, r.retryAfter)
+	out.suspect = true
+	return out
+}
+
 const (
 	// holdJitter spreads calls that are held until the same moment, so that each decision
 	// takes the calls started before it into account.
@@ -143,6 +161,10 @@
 	outcome core.Outcome
 	reason  string
 	last    bool // no further attempt is allowed
+	// suspect is set if another region refused the call because of a part of its prompt, and
+	// retryAfter is what it stated.
+	suspect    bool
+	retryAfter time.Duration
 }
 
 // recordFailedAttempt counts an attempt without a response and reports whether another one may follow.
@@ -240,11 +262,3 @@
 	// One crash may be a coincidence, and on a day with many crashes so may two.
 	crashesToQuarantine = 3
 )
-
-// quarantined reports whether calls with the digest are refused because targets crashed while
-// they ran them.
-func (g *Gateway) quarantined(digest string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.Status(g.clock.Now(), digest) == quarantine.Quarantined
-}
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"encoding/binary"
 	"encoding/json"
 	"strings"
 	"time"
@@ -16,14 +14,6 @@
 const (
 	// typicalTimeWeight is the weight of a new sample in a route's typical processing time.
 	typicalTimeWeight = 0.05
-	// maxSuspectedCrashes bounds the suspected crashes that wait to be probed.
-	maxSuspectedCrashes = 256
-	// crashProbeDelay is the delay between a lost connection and the probe of its target.
-	crashProbeDelay   = 150 * time.Millisecond
-	crashProbeTimeout = 300 * time.Millisecond
-
-	crashKeyPrefix  = "death/"
-	crashTTLSeconds = 600
 	// leavingTTLSeconds exceeds the few seconds for which a leaving target still serves, so
 	// that hosts which lose contact meanwhile learn of it as well.
 	leavingKeyPrefix  = "leaving/"
@@ -163,116 +153,34 @@
 	g.regions.MarkLost(g.clock.Now(), region)
 }
 
-// suspectedCrash is a call whose target may have crashed while it ran it.
-type suspectedCrash struct {
-	digest string
-	target catalogue.Target
-}
-
-// reportSuspectedCrash queues a probe of a target that broke off a call.
-func (g *Gateway) reportSuspectedCrash(digest string, t catalogue.Target) {
-	if !g.suspectedCrashes.TryPut(suspectedCrash{digest: digest, target: t}) {
-		g.metrics.add("suspicions_dropped_total", 1)
-	}
-}
-
-// logBrokenOff logs a call that a target broke off after the given number of events, with the
-// parts of its prompt that other calls may share.
-func (c *activeCall) logBrokenOff(t catalogue.Target, events int) {
-	c.gateway.metrics.add("calls_broken_off_total", 1)
-	c.gateway.log.Info("A target broke off a call.", "ID", c.meta.ID, "Route", c.route.Name, "Target", t.Incarnation, "Events", events,
-		"Attempt", c.attempts, "Parts", c.partKeys())
-}
-
-// partKeys returns a keyed digest of each part of the prompt that other calls may share: all
-// but the last one, maxPartKeys at most.
-func (c *activeCall) partKeys() []string {
-	parts := c.meta.Parts
-	if len(parts) == 0 {
-		return nil
-	}
-	parts = parts[:min(len(parts)-1, maxPartKeys)]
-	keys := make([]string, len(parts))
-	for i, part := range parts {
-		keys[i] = c.gateway.signer.Digest([]byte(c.service), binary.BigEndian.AppendUint64(nil, part.ID))[:partKeyLength]
-	}
-	return keys
-}
-
-const (
-	// maxPartKeys bounds the parts of one prompt that are examined after a crash.
-	maxPartKeys = 64
-	// partKeyLength is the length of a part's digest, in hexadecimal digits.
-	partKeyLength = 24
-)
-
-// probeSuspects checks whether targets that broke off a call still accept connections, until
-// ctx is done. A lost response of a running target is no sign that the call is harmful.
-func (g *Gateway) probeSuspects(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case s := <-g.suspectedCrashes.Items():
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-g.clock.After(crashProbeDelay):
-			}
-			if !g.acceptsConnections(ctx, s.target.Address) {
-				g.recordCrash(quarantine.CrashReport{Digest: s.digest, CrashID: s.target.Incarnation}, true)
-			}
-		}
-	}
-}
-
-func (g *Gateway) acceptsConnections(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
-	defer cancel()
-	conn, err := g.network.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-// recordCrash counts the crash of a target against the call that it ran. If this host
-// detected the crash itself (own), it posts the report to the fleet.
-func (g *Gateway) recordCrash(report quarantine.CrashReport, own bool) {
-	g.mu.Lock()
-	added := g.quarantine.Add(g.clock.Now(), report)
-	g.mu.Unlock()
-	if !added {
-		return
-	}
-	g.log.Info("A target died while it ran a call.", "Digest", report.Digest, "Target", report.CrashID, "Own", own)
-	if !own {
-		return
-	}
-	value, err := json.Marshal(report)
-	if err != nil {
-		g.log.Error(err, "A crash report could not be encoded.")
-		return
-	}
-	g.gossip.PostNow(bulletin.Item{
-		Key: crashKeyPrefix + report.Digest + "/" + report.CrashID, Stamp: 1, Scope: bulletin.Fleet, TTLSeconds: crashTTLSeconds, Value: value,
-	})
-}
-
 // onItem handles a bulletin item that another host posted.
 func (g *Gateway) onItem(item bulletin.Item) {
 	if incarnation, ok := strings.CutPrefix(item.Key, leavingKeyPrefix); ok {
 		g.recordLeaving(incarnation, false)
 		return
 	}
-	if !strings.HasPrefix(item.Key, crashKeyPrefix) {
-		return
+	var err error
+	switch prefix, _, _ := strings.Cut(item.Key, "/"); prefix + "/" {
+	case crashKeyPrefix:
+		err = applyItem(item, func(r quarantine.CrashReport) { g.recordCrash(r, false) })
+	case partCrashKeyPrefix:
+		err = applyItem(item, g.applyPartCrash)
+	case partClearanceKeyPrefix:
+		err = applyItem(item, g.applyClearance)
+	case partTrialKeyPrefix:
+		err = applyItem(item, g.applyTrial)
 	}
-	var report quarantine.CrashReport
-	if err := json.Unmarshal(item.Value, &report); err != nil {
-		g.log.Error(err, "A crash report could not be decoded.", "Key", item.Key)
-		return
+	if err != nil {
+		g.log.Error(err, "An item of another host could not be decoded.", "Key", item.Key)
+	}
+}
+
+// applyItem decodes the value of an item and applies it.
+func applyItem[T any](item bulletin.Item, apply func(T)) error {
+	var value T
+	if err := json.Unmarshal(item.Value, &value); err != nil {
+		return err
 	}
-	g.recordCrash(report, false)
+	apply(value)
+	return nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,6 +30,8 @@
 	headerTarget   = "Gateway-Target"
 	headerReason   = "Gateway-Reason"
 	headerOutdated = "Gateway-Behind"
+	// headerSuspect is set if the call is refused because a part of its prompt may crash targets.
+	headerSuspect = "Gateway-Suspect"
 )
 
 // sendToRegion forwards the call to a host of another region, which sends it to one of its
@@ -109,6 +111,10 @@
 			c.triedRegions = c.triedRegions[:len(c.triedRegions)-1] // other hosts of the region may have the configuration
 			return nil, result{outcome: outcome, reason: reason}
 		}
+		if outcome == core.NotRun && len(response.Get(headerSuspect)) > 0 {
+			c.recordRegionRetryAfter(response.Get(fasthttp.HeaderRetryAfter))
+			return nil, suspectResult(reason, max(c.regionRetryAfter, shortRetryAfter))
+		}
 		if outcome == core.NotRun {
 			c.recordRegionRetryAfter(response.Get(fasthttp.HeaderRetryAfter))
 			c.gateway.recordRegionRefusal(region, c.work)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 //	call.go         routing of one call
 //	send.go         attempts at targets
 //	forward.go      attempts in other regions, and calls forwarded from there
+//	crashes.go      calls and parts of prompts that crash targets
 //	feedback.go     state of targets and regions learned from attempts
 //	coordinate.go   load queries to the coordinators of targets
 //	peermessage.go  load reports between hosts
@@ -98,6 +99,7 @@
 	hangups          *hangup.Watcher
 	metrics          *metrics
 	suspectedCrashes *ring.Queue[suspectedCrash]
+	clearances       *ring.Queue[dueClearance]
 	updates          *ring.Queue[catalogue.Update]
 	messageConn      net.PacketConn
 	gossipConn       net.PacketConn
@@ -111,7 +113,8 @@
 	balancer     *balance.Balancer
 	regions      *balance.Regions
 	budgets      map[string]*balance.RetryBudget
-	quarantine   *quarantine.Registry
+	quarantine   *quarantine.Registry // of whole calls
+	parts        *quarantine.Parts
 	typicalTimes map[string]time.Duration // processing time by route
 	avoidUntil   map[string]time.Time     // by host; no call is forwarded to it before
 	lastMessages map[string]messageStamp  // by host
@@ -126,6 +129,7 @@
 	storeReaders     atomic.Pointer[storeReaders]
 	leaving          atomic.Bool
 	messageCounter   atomic.Uint64 // of datagrams sent
+	partItems        atomic.Int64  // items posted about parts of prompts
 	regionTurn       int           // of reports to other regions; only sendLoadReports uses it
 	inFlight         atomic.Int64
 	stop             context.CancelFunc
@@ -167,10 +171,11 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
+		parts:      quarantine.NewParts(),
 		avoidUntil: map[string]time.Time{}, lastMessages: map[string]messageStamp{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -249,7 +254,7 @@
 	group.Go("load report sender", g.sendLoadReports)
 	group.Go("load report receiver", g.receiveMessages)
 	group.Go("limit lender", g.lendLimits)
-	group.Go("examiner", g.probeSuspects)
+	group.Go("examiner", g.examineCrashes)
 	group.Go("lister", g.pollCacheLists)
 	group.Go("hang-ups", func(ctx context.Context) error { return g.hangups.Run(ctx, g.clock) })
 	for _, s := range g.servers {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -119,6 +119,9 @@
 	h := &ctx.Response.Header
 	h.Set(core.HeaderOutcome, r.outcome.String())
 	h.Set(headerReason, r.reason)
+	if r.suspect {
+		h.Set(headerSuspect, "1")
+	}
 	if r.retryAfter > 0 {
 		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -154,7 +157,7 @@
 		h.Set(headerTarget, u.target)
 		c.setElapsedHeader(h)
 	} else {
-		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason} {
+		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect} {
 			h.Del(name)
 		}
 	}
@@ -242,7 +245,7 @@
 func (r *relay) resume() bool {
 	c, last := r.call, r.upstream.stream.lastID
 	if a := r.upstream.attempt; a.flight != nil && a.ctx.Err() == nil {
-		c.logBrokenOff(a.choice.Target, r.events)
+		c.reportSuspectedCrash(a.choice.Target, r.events, c.gateway.clock.Now().Sub(a.beganAt) <= firstEventGrace)
 	}
 	r.upstream.attempt.end(r.upstream.attempt.resultUnlessCancelled(balance.Silent))
 	r.upstream.response.Close()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -47,8 +47,12 @@
 	choice balance.Choice
 	flight *balance.Flight // nil for another region
 	sentAt time.Time       // of an attempt at a target
-	ctx    context.Context
-	cancel context.CancelFunc
+	// beganAt is when the first byte of the response arrived, zero before. answered is set once
+	// the response counts as evidence for the parts of the prompt.
+	beganAt  time.Time
+	answered bool
+	ctx      context.Context
+	cancel   context.CancelFunc
 	// timer runs for firstByteTimeout; it is nil for attempts without that timeout.
 	timer            *time.Timer
 	firstByteTimeout time.Duration
@@ -100,8 +104,9 @@
 	if a.timer != nil {
 		a.timer.Stop()
 	}
+	a.beganAt = a.call.gateway.clock.Now()
 	if a.call.firstByteAt.IsZero() {
-		a.call.firstByteAt = a.call.gateway.clock.Now()
+		a.call.firstByteAt = a.beganAt
 	}
 	a.record(func(now time.Time, b *balance.Balancer) {
 		b.FirstByte(now, a.flight)
@@ -134,8 +139,20 @@
 	update(now, g.balancer)
 }
 
+// recordAnswered records that the target lived on after it began the response.
+func (a *attempt) recordAnswered() {
+	if a.flight == nil || a.answered {
+		return
+	}
+	a.answered = true
+	a.call.recordAnswered()
+}
+
 // onEvent records the pause before an event of a stream.
 func (a *attempt) onEvent(pause time.Duration) {
+	if a.call.gateway.clock.Now().Sub(a.beganAt) > firstEventGrace {
+		a.recordAnswered()
+	}
 	a.record(func(now time.Time, b *balance.Balancer) { b.Event(now, a.flight, pause) })
 }
 
@@ -145,6 +162,11 @@
 		a.timer.Stop()
 	}
 	a.cancel()
+	if r == balance.Answered {
+		a.recordAnswered()
+	} else if r != balance.Silent && a.flight != nil {
+		a.call.endTrial()
+	}
 	a.record(func(now time.Time, b *balance.Balancer) { b.End(now, a.flight, r) })
 	a.sendChange()
 }
@@ -248,8 +270,7 @@
 	cancelled := a.ctx.Err() != nil
 	a.end(a.resultUnlessCancelled(balance.Silent))
 	if !cancelled {
-		a.call.logBrokenOff(a.choice.Target, 0)
-		a.call.gateway.reportSuspectedCrash(a.call.digest, a.choice.Target)
+		a.call.reportSuspectedCrash(a.choice.Target, 0, true)
 	}
 	return result{outcome: core.Unknown, reason: reason}
 }
