--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -31,6 +31,26 @@
 	Decode(key string, value []byte) (DecodedEntry, error)
 }
 
+// departure is the last report of a target that is gone.
+type departure struct {
+	startUnixMs, sequence int64
+	at                    time.Time
+}
+
+// covers reports whether a report is not newer than the departure.
+func (d departure) covers(r Report) bool {
+	return r.StartUnixMs < d.startUnixMs || (r.StartUnixMs == d.startUnixMs && r.Sequence <= d.sequence)
+}
+
+const (
+	// maxDepartures is the number of departures from which on those older than
+	// drainingRetention are pruned.
+	maxDepartures = 4096
+	// evacuationGrace is how long an evacuation that a restored store lacks stays in force, so
+	// that the operator can write it again.
+	evacuationGrace = 5 * time.Second
+)
+
 // expiredEntryGrace is how long a target whose entry expired during an outage of the
 // store stays known after the store has recovered, so that it can write the entry again.
 const expiredEntryGrace = 2 * time.Second
@@ -68,6 +88,12 @@
 	// drainingSince holds the time at which this host learned that a target process
 	// drains, from the process itself or from another host, keyed by incarnation.
 	drainingSince map[string]time.Time
+	// departed holds the last report of each target that is gone, keyed by ID, so that a store
+	// restored from a copy does not bring the target back.
+	departed map[string]departure
+	// unconfirmed holds when a restored store was found to lack the entry of an evacuation,
+	// keyed by entry key.
+	unconfirmed map[string]time.Time
 	// storeRecoveredAt is when the store answered again after an outage. It is reset once
 	// the next result of the store is applied: entries that are removed in that result may
 	// have expired during the outage.
@@ -93,6 +119,7 @@
 	c := &Catalogue{
 		decoder: decoder, regions: regions, clock: clock.System{}, log: logr.Discard(), onChange: func(*Snapshot) {},
 		entries: map[string]keyvalue.Entry{}, removed: map[string]int64{}, drainingSince: map[string]time.Time{},
+		departed: map[string]departure{}, unconfirmed: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(c)
@@ -192,7 +219,10 @@
 		}
 	}
 	for key := range c.entries {
-		if !keys[key] && c.remove(next, key, revision) {
+		if keys[key] || c.awaitsConfirmation(key, revision, before) {
+			continue
+		}
+		if c.remove(next, key, revision) {
 			changes = append(changes, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true})
 		}
 	}
@@ -200,6 +230,22 @@
 	return changes
 }
 
+// awaitsConfirmation reports whether the entry of an evacuation stays in force for a while
+// although a full read in a new era of the store lacks it.
+func (c *Catalogue) awaitsConfirmation(key string, revision, before int64) bool {
+	era, _ := keyvalue.SplitRevision(revision)
+	knownEra, _ := keyvalue.SplitRevision(before)
+	decoded, _ := c.decoder.Decode(key, c.entries[key].Value) // the kind is also set with an error
+	if decoded.Kind != Evacuation || era <= knownEra {
+		return false
+	}
+	if _, ok := c.unconfirmed[key]; !ok {
+		c.unconfirmed[key] = c.clock.Now()
+		c.log.Info("A restored store lacks an evacuation; it stays in force for now.", "DataCentre", decoded.DataCentre)
+	}
+	return true
+}
+
 // Difference is the set of changes that one host sends to another with an older revision.
 type Difference struct {
 	Revision int64
@@ -295,9 +341,19 @@
 		if next == nil {
 			next = c.nextSnapshot(c.Snapshot().Revision)
 		}
-		delete(next.Targets, id)
+		c.depart(next, t)
 		c.log.Info("Removed a target that did not write its expired entry again.", "Target", id)
 	}
+	for key, since := range c.unconfirmed {
+		if now.Sub(since) < evacuationGrace {
+			continue
+		}
+		if next == nil {
+			next = c.nextSnapshot(c.Snapshot().Revision)
+		}
+		delete(c.unconfirmed, key)
+		c.remove(next, key, next.Revision)
+	}
 	if next != nil {
 		c.publish(next)
 	}
@@ -335,8 +391,10 @@
 	if c.known(e) {
 		return false
 	}
+	older := c.entries[e.Key]
 	c.entries[e.Key] = e
 	delete(c.removed, e.Key)
+	delete(c.unconfirmed, e.Key)
 	decoded, err := c.decoder.Decode(e.Key, e.Value)
 	if err != nil {
 		c.log.Error(err, "Failed to decode an entry of the store.", "Key", e.Key, "Revision", e.ModRevision)
@@ -347,6 +405,12 @@
 	}
 	switch decoded.Kind {
 	case Configuration:
+		if next.Table != nil && decoded.Document.Version < next.Table.Version() {
+			e.Value = older.Value // other hosts fetch the configuration that is in force
+			c.entries[e.Key] = e
+			c.log.Info("Ignored an older configuration.", "Version", decoded.Document.Version, "InForce", next.Table.Version(), "Revision", e.ModRevision)
+			return false
+		}
 		c.applyConfiguration(next, decoded.Document, e.ModRevision)
 	case TargetReport:
 		return c.applyReport(next, decoded.Report)
@@ -384,8 +448,11 @@
 // reports whether the report brings new information.
 func (c *Catalogue) applyReport(next *Snapshot, r Report) bool {
 	old, known := next.Targets[r.ID]
+	if !known && c.hasDeparted(r) {
+		return false
+	}
 	sameProcess := known && old.StartUnixMs == r.StartUnixMs
-	if known && (r.StartUnixMs < old.StartUnixMs || (sameProcess && r.Sequence < old.Sequence)) {
+	if known && r.isOlderThan(old.Report) {
 		return false
 	}
 	if sameProcess && old.State == Draining {
@@ -455,6 +522,26 @@
 		c.log.Info("A target's entry expired during an outage of the store; the target stays in use for now.", "Target", id)
 		return
 	}
-	delete(next.Targets, id)
+	c.depart(next, t)
 	c.log.Info("A target is gone.", "Target", id)
 }
+
+// hasDeparted reports whether the report of an unknown target was written before it left.
+func (c *Catalogue) hasDeparted(r Report) bool {
+	d, gone := c.departed[r.ID]
+	if !gone || !d.covers(r) {
+		return false
+	}
+	c.log.Info("Ignored the entry of a target that is gone.", "Target", r.ID, "Sequence", r.Sequence)
+	return true
+}
+
+// depart removes a target and remembers its last report.
+func (c *Catalogue) depart(next *Snapshot, t Target) {
+	now := c.clock.Now()
+	if len(c.departed) >= maxDepartures {
+		maps.DeleteFunc(c.departed, func(_ string, d departure) bool { return now.Sub(d.at) > drainingRetention })
+	}
+	delete(next.Targets, t.ID)
+	c.departed[t.ID] = departure{startUnixMs: t.StartUnixMs, sequence: t.Sequence, at: now}
+}
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -89,6 +89,7 @@
 	first    bool      // no call has succeeded and nothing came from another host
 	failed   bool      // the last call failed
 	nextCall time.Time // earliest time of the next call
+	restored bool      // the store has begun a new era since the last successful call
 	updated  time.Time // when another host last sent all changes
 }
 
@@ -149,13 +150,18 @@
 	if s.fullRead {
 		read = f.readAll
 	}
-	err := read(ctx, s.failed)
+	err := read(ctx, s.failed || s.restored)
 	if ctx.Err() != nil {
 		return s
 	}
 	f.recordResult(err, s.failed)
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
-	compacted := err != nil && kind == keyvalue.Compacted
+	restored := err != nil && kind == keyvalue.Restored
+	if restored {
+		f.log.Info("The store was restored from a copy; it is read anew.", "Revision", f.catalogue.Snapshot().Revision)
+	}
+	s.restored = restored || (s.restored && err != nil)
+	compacted := restored || (err != nil && kind == keyvalue.Compacted)
 	s.first = s.first && err != nil
 	s.fullRead, s.failed = compacted || (s.fullRead && err != nil), err != nil && !compacted
 	return s
@@ -218,7 +224,7 @@
 // the last call on to FollowPeers.
 func (f *Follower) recordResult(err error, failed bool) {
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
-	lost := err != nil && kind != keyvalue.Compacted
+	lost := err != nil && kind != keyvalue.Compacted && kind != keyvalue.Restored
 	if lost && !failed {
 		f.log.Error(err, "The store does not answer.", "Revision", f.catalogue.Snapshot().Revision)
 	}
--- a/internal/catalogue/target.go
+++ b/internal/catalogue/target.go
@@ -43,6 +43,12 @@
 	return r != old || r.ColdRemaining > 0
 }
 
+// isOlderThan reports whether the other report comes from a later start of the target, or was
+// written later by the same process.
+func (r Report) isOlderThan(other Report) bool {
+	return r.StartUnixMs < other.StartUnixMs || (r.StartUnixMs == other.StartUnixMs && r.Sequence < other.Sequence)
+}
+
 // Target is the state of a target at this host.
 type Target struct {
 	Report
--- a/internal/keyvalue/store.go
+++ b/internal/keyvalue/store.go
@@ -22,16 +22,32 @@
 	LeaseNotFound
 	// Rejected means that the service rejected the request as malformed.
 	Rejected
+	// Restored means that the service was restored from a copy since the requested revision,
+	// so that it may lack changes that it had reported.
+	Restored
 )
 
 // String returns the kind as it appears in error messages.
 func (k Kind) String() string {
-	return [...]string{"unavailable", "unconfirmed", "compacted", "lease not found", "rejected"}[k]
+	return [...]string{"unavailable", "unconfirmed", "compacted", "lease not found", "rejected", "restored"}[k]
 }
 
 // Error is the error type of the package and of its adapters.
 type Error = failure.Error[Kind]
 
+// revisionBits is the number of bits of a revision within an era.
+const revisionBits = 40
+
+// RevisionInEra returns a number that orders the revisions of a store across its eras. A store
+// begins a new era when it is restored from a copy and gives out the revisions after that of the
+// copy again. The revisions of era 0 are unchanged.
+func RevisionInEra(era, revision int64) int64 { return era<<revisionBits | revision }
+
+// SplitRevision returns the era and the revision of a number that RevisionInEra returned.
+func SplitRevision(n int64) (era, revision int64) {
+	return n >> revisionBits, n & (1<<revisionBits - 1)
+}
+
 // Entry is a key with its value and revisions.
 type Entry struct {
 	Key            string
