internal/gateway, internal/exchange: take a stream without events that ends with its connection for broken off

What callers saw: a complete, empty 200 in place of a stream whose target closed the connection after the header; and a stream that had begun, broke off and looked complete if the next target did that when it resumed the stream. Cause: without length and chunks the end of the connection ends the body, and a stream that ends before its first event counted as whole. It may have been broken off at any byte, so that it is no evidence of an end; one with events still ends between two of them. The two tests failed before (200 in place of 502; complete in place of broken off).

Beside it, tests that show what does not happen: a target that fails or ends within its header when it resumes a stream leaves the stream incomplete, without a byte of its own.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -356,6 +356,12 @@
 	return n, err
 }
 
+// CloseDelimited reports whether the end of the connection ends the body.
+func (r *Response) CloseDelimited() bool {
+	_, ok := r.body.(*closeDelimitedReader)
+	return ok
+}
+
 // Status returns the status code.
 func (r *Response) Status() int { return r.Header.StatusCode() }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"time"
 
@@ -377,6 +378,9 @@
 func (u *upstreamResponse) readFirstEvent() error {
 	event, err := u.stream.next()
 	if isEOF(err) {
+		if u.response.CloseDelimited() {
+			return io.ErrUnexpectedEOF // the target may have crashed before the first event
+		}
 		u.ended = true
 		return nil
 	}
