internal/exchange: reject a response on a kept connection that names no request

Cause: a response without the id of its call counted as a match. Targets echo the id in all responses to calls, refusals too, so on a kept connection one without it is nothing to rely on: the call ends as unknown. A request that carries no id (lists of caches) is left out.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -68,6 +68,7 @@
 	address  string
 	reader   *bufio.Reader
 	lastUsed time.Time
+	used     bool          // by an earlier exchange
 	idleTime time.Duration // maximum time between two exchanges
 }
 
@@ -127,6 +128,9 @@
 		if err := r.readHeader(request.Header.IsHead()); err != nil {
 			return err
 		}
+		if r.conn.used && r.pool.unidentified(request, &r.Header) {
+			return errors.New("an answer on a kept connection names no request")
+		}
 		if r.pool.matches(request, &r.Header) {
 			if _, empty := r.body.(noBody); empty {
 				r.finish()
@@ -150,8 +154,14 @@
 	return err
 }
 
+// unidentified reports whether a response lacks the header of the request that it should echo.
+// On a kept connection, such a response may be one to an earlier request.
+func (p *Pool) unidentified(request *fasthttp.Request, response *fasthttp.ResponseHeader) bool {
+	return p.echoHeader != "" && len(request.Header.Peek(p.echoHeader)) > 0 && len(response.Peek(p.echoHeader)) == 0
+}
+
 // matches reports whether the response header echoes the value of the request. A response
-// without the header counts as a match.
+// without the header counts as a match on a new connection.
 func (p *Pool) matches(request *fasthttp.Request, response *fasthttp.ResponseHeader) bool {
 	if p.echoHeader == "" {
 		return true
@@ -210,7 +220,7 @@
 
 // put keeps the connection for reuse, or closes it if the pool is closed or full.
 func (p *Pool) put(c *conn) {
-	c.lastUsed = time.Now()
+	c.lastUsed, c.used = time.Now(), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[c.address]) >= p.maxIdle {
