internal/quarantine: let only a part that was alone on trial explain crashes, and test the decisions

A part that was quarantined together with others of the same calls explained the crashes of these too, so that the one at fault could be cleared. Found by the new test of two parts that always come together, which failed before. The tests drive the decisions in virtual time: order of reports, crashes for other causes, trials, the return from quarantine, bounded memory.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -135,10 +135,11 @@
 	return true
 }
 
-// explainBy attributes the crashes of a part to it if it is quarantined.
+// explainBy attributes the crashes of a part to it if it alone was on trial in one of them, so
+// that no other part can be their cause.
 func (p *Parts) explainBy(part string) {
 	rec := p.records[part]
-	if rec == nil || !p.condemned(part, rec) {
+	if rec == nil || !p.condemned(part, rec) || !p.tally(part, rec).decisive {
 		return
 	}
 	if len(p.explained) >= maxExplained {
