--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,8 @@
 //	call.go         routing of one call
 //	send.go         attempts at targets
 //	forward.go      attempts in other regions, and calls forwarded from there
-//	crashes.go      calls and parts of prompts that crash targets
+//	crashes.go      examination of targets that break off calls
+//	parts.go        parts of prompts that crash targets
 //	feedback.go     state of targets and regions learned from attempts
 //	coordinate.go   load queries to the coordinators of targets
 //	peermessage.go  load reports between hosts
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -78,6 +78,9 @@
 	Targets      []balance.TargetDump
 	KnownTargets int
 	Regions      []string
+	// SuspectedParts and QuarantinedParts count parts of prompts that may crash targets.
+	SuspectedParts   int
+	QuarantinedParts int
 }
 
 // Dump returns the state of the host.
@@ -93,7 +96,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d.Targets = g.balancer.Dump(g.clock.Now())
+	now := g.clock.Now()
+	d.Targets = g.balancer.Dump(now)
+	d.SuspectedParts, d.QuarantinedParts = g.parts.Counts(now)
 	return d
 }
 
