internal/catalogue: keep an older configuration's entry if there is no newer one to keep

A host that has lost the entry of its configuration (the copy lacked it) would have handed an empty value to hosts that ask.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -405,7 +405,7 @@
 	}
 	switch decoded.Kind {
 	case Configuration:
-		if next.Table != nil && decoded.Document.Version < next.Table.Version() {
+		if next.Table != nil && len(older.Value) > 0 && decoded.Document.Version < next.Table.Version() {
 			e.Value = older.Value // other hosts fetch the configuration that is in force
 			c.entries[e.Key] = e
 			c.log.Info("Ignored an older configuration.", "Version", decoded.Document.Version, "InForce", next.Table.Version(), "Revision", e.ModRevision)
