--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -274,7 +277,8 @@
 func (a *attempt) targetSendFailed(err error) result {
 	c, target := a.call, a.choice.Target
 	kind, _ := failure.KindOf[exchange.Kind](err)
-	c.addStep("target %s: %v", target.ID, err)
+	c.addStep("target %s: %v (%d ms)", target.ID, err, c.gateway.clock.Now().Sub(a.sentAt).Milliseconds())
+	c.gateway.metrics.add(fmt.Sprintf("target_send_failures_total{kind=%q,error=%q}", kind, errorClass(err)), 1)
 	if kind == exchange.Withdrawn {
 		a.end(balance.Abandoned)
 		c.gateway.metrics.add("withdrawn_sends_total", 1)
@@ -291,6 +295,23 @@
 	return a.endUnanswered("a target did not answer")
 }
 
+// errorClass returns a name for the way in which a connection failed, for metrics.
+func errorClass(err error) string {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timeout"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	default:
+		return "other"
+	}
+}
+
 // endUnanswered ends an attempt that may have run the call and brought no complete response.
 // Unless the attempt was cancelled, the call may have crashed the target.
 func (a *attempt) endUnanswered(reason string) result {
