internal/balance: catch up again after a short pause that follows a longer one

A host that was paused for more than a second waits 150 ms before it sends calls, to read what others have told it. If it is paused again before that time is over, for less than a second, it took itself for caught up and sent all calls that had queued at once. Ruled out: a longer threshold for any pause, which would hold calls of hosts that are only slow.

--- a/internal/balance/doubt.go
+++ b/internal/balance/doubt.go
@@ -242,15 +242,25 @@
 // CatchUpTime returns how long this host must wait before it sends calls, as it was paused and may
 // know of targets that have crashed only from messages that it has not read yet.
 func (b *Balancer) CatchUpTime(now time.Time) time.Duration {
-	if !b.polledAt.IsZero() && now.Sub(b.polledAt) > pauseThreshold {
+	if b.wasPaused(now) {
 		return catchUpTime
 	}
 	return max(0, catchUpTime-now.Sub(b.resumedAt))
 }
 
+// wasPaused reports whether the process was paused since the last poll. While it catches up after a
+// pause, a short further one counts as well.
+func (b *Balancer) wasPaused(now time.Time) bool {
+	threshold := pauseThreshold
+	if !b.resumedAt.IsZero() && b.polledAt.Sub(b.resumedAt) < catchUpTime {
+		threshold = maxPollDelay
+	}
+	return !b.polledAt.IsZero() && now.Sub(b.polledAt) > threshold
+}
+
 // recordPoll notices that the process was paused.
 func (b *Balancer) recordPoll(now time.Time) {
-	if !b.polledAt.IsZero() && now.Sub(b.polledAt) > pauseThreshold {
+	if b.wasPaused(now) {
 		b.resumedAt = now
 		for _, t := range b.targets {
 			if b.canDoubt(t) {
