internal/balance, internal/gateway: keep a host's paths apart from the state of targets

Such a host took each connection that failed for a failure of that target: it was ejected for half a second and then tried again, and while all targets were ejected they were used all the same. Its doubts blocked targets at hosts in touch, it remained responsible for targets that it could not reach, and other regions forwarded calls to it.

A host now keeps its path to each target apart from the target's state. A failed connection takes the path down; a probe, an opened connection, brings it back, after the process has stated that it is not a new one. A host without any path is detached: it passes calls to a host of its region that has one, and else to another region; it tells no doubts, checks no health, reports no crash of a target, and is responsible for no target. Hosts tell the fleet when they reach none, few or most of their targets, so that calls are forwarded to those that reach most. An attempt that sent nothing is not charged as a repeat. The ejection after a failed connection is gone.

The unit test of an unreachable target is replaced by a stricter one: the target stays unused until a probe reaches it, whatever the time.

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -25,7 +25,7 @@
 		return t.assigned.host
 	}
 	var a assignment
-	a.update(xxhash.Sum64String(id), b.hosts.Live)
+	a.update(xxhash.Sum64String(id), b.hosts.holders())
 	return a.host
 }
 
@@ -42,12 +42,13 @@
 // reassignAll updates the assignments of all targets after a change of the hosts. A target
 // whose host is still live is compared with the added hosts only.
 func (b *Balancer) reassignAll(now time.Time, previous []string) {
-	if slices.Equal(previous, b.hosts.Live) {
+	holders := b.hosts.holders()
+	if slices.Equal(previous, holders) {
 		return
 	}
-	known, live := setOf(previous), setOf(b.hosts.Live)
+	known, live := setOf(previous), setOf(holders)
 	var added []string
-	for _, host := range b.hosts.Live {
+	for _, host := range holders {
 		if !known[host] {
 			added = append(added, host)
 		}
@@ -68,10 +69,10 @@
 	}
 }
 
-// assign selects the host for a target among all live hosts.
+// assign selects the host for a target among all hosts that may be responsible for one.
 func (b *Balancer) assign(t *target) {
 	t.assigned = assignment{}
-	t.assigned.update(t.hash, b.hosts.Live)
+	t.assigned.update(t.hash, b.hosts.holders())
 }
 
 func setOf(list []string) map[string]bool {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -167,17 +167,28 @@
 		Expect(chooseID(other, start, promptWork(5000))).NotTo(Equal(id))
 	})
 
-	It("ejects an unreachable target and retries it later", func() {
+	It("avoids an unreachable target until a probe reaches it", func() {
 		b := newBalancer(2)
 		b.End(start, b.Begin(start, "t00", promptWork(100)), balance.Unreached)
-		for range 20 {
-			Expect(chooseID(b, start.Add(100*time.Millisecond), promptWork(100))).To(Equal("t01"))
+		b.FirstByte(start, b.Begin(start, "t01", promptWork(100)))
+		used := func(at time.Duration) map[string]bool {
+			ids := map[string]bool{}
+			for range 200 {
+				ids[chooseID(b, start.Add(at), promptWork(100))] = true
+			}
+			return ids
 		}
-		ids := map[string]bool{}
-		for range 200 {
-			ids[chooseID(b, start.Add(10*time.Second), promptWork(100))] = true
+		Expect(used(100 * time.Millisecond)).NotTo(HaveKey("t00"))
+		Expect(used(10 * time.Second)).NotTo(HaveKey("t00"))
+		due := b.DueProbes(start.Add(10 * time.Second))
+		Expect(due).To(ContainElement(HaveField("ID", "t00")))
+		for _, t := range due {
+			if doubt, _, ok := b.RecordProbe(start.Add(10*time.Second), t, true); ok {
+				Expect(used(10 * time.Second)).NotTo(HaveKey(doubt.Target)) // it may be another process
+				Expect(b.ApplyStatement(start.Add(10*time.Second), balance.Statement{Target: doubt.Target, Asker: "h1", Number: doubt.Number})).To(BeTrue())
+			}
 		}
-		Expect(ids).To(HaveKey("t00"))
+		Expect(used(10 * time.Second)).To(HaveKey("t00"))
 	})
 
 	It("uses the only target of a service even if it fails all calls", func() {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -16,6 +16,9 @@
 	Self string
 	// Live are the reachable hosts of the region, including Self.
 	Live []string
+	// Attached are the live hosts that are not detached from all targets. Only these are
+	// responsible for targets, unless there are none.
+	Attached []string
 	// Known is the number of hosts of the region, including unreachable ones.
 	Known int
 	// Sharers is the number of hosts that may be sending to the region's targets: all except
@@ -27,6 +30,14 @@
 	Settled bool
 }
 
+// holders returns the hosts among which the responsibility for targets is divided.
+func (h Hosts) holders() []string {
+	if len(h.Attached) > 0 {
+		return h.Attached
+	}
+	return h.Live
+}
+
 // Balancer tracks the state of the targets in one host's region and chooses targets for
 // calls. It is not safe for concurrent use.
 type Balancer struct {
@@ -53,6 +64,12 @@
 	refutations  []Statement          // see DueStatements
 	polledAt     time.Time            // last call of DueDoubts
 	resumedAt    time.Time            // when the process was found to have been paused
+	// detached is set while the host has no path to any target, and attachedReach is how many it
+	// has one to otherwise. toldReach is the last result of UpdateReach. respondedAt is when a target last
+	// responded on a connection, and probedAt when the host last probed a path.
+	detached                 bool
+	attachedReach, toldReach Reach
+	respondedAt, probedAt    time.Time
 }
 
 // hostFlows are the flows that another host has reported.
@@ -69,7 +86,7 @@
 
 // NewBalancer returns a Balancer without targets for a region.
 func NewBalancer(region string, seed uint64, options ...Option) *Balancer {
-	b := &Balancer{policy: DefaultPolicy(), region: region, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, coldRates: map[string]float64{}, coldStarts: map[string]time.Duration{},
+	b := &Balancer{policy: DefaultPolicy(), region: region, attachedReach: ReachMost, toldReach: ReachMost, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, coldRates: map[string]float64{}, coldStarts: map[string]time.Duration{},
 		readRates: map[string]*rateEstimate{}, fetchRates: map[string]*rateEstimate{}, promptServices: map[string]bool{}, ownFlows: map[string]*serviceFlows{}, peerFlows: map[string]hostFlows{},
 		workPerCall: map[string]float64{}, formerLimits: map[string]limitRecord{}, limitQueues: map[string]time.Time{}}
 	for _, option := range options {
@@ -146,9 +163,9 @@
 // SetHosts updates the hosts of the region. When hosts are gone, their calls end with their
 // connections, so their shares are dropped.
 func (b *Balancer) SetHosts(now time.Time, h Hosts) {
-	previous := b.hosts.Live
+	previous, previousHolders := b.hosts.Live, b.hosts.holders()
 	b.hosts = h
-	b.reassignAll(now, previous)
+	b.reassignAll(now, previousHolders)
 	if !b.Coordinated() || slices.Equal(previous, h.Live) {
 		return // in a small region, shares expire soon by themselves
 	}
@@ -201,6 +218,9 @@
 	Pause time.Duration
 	// Version is the software version of the target, Unknown while its process is in doubt.
 	Version continuation.Version
+	// NoPath is set if this host has no path to the target and must pass the call to another host
+	// of the region.
+	NoPath bool
 }
 
 // Choose returns the target with the lowest cost, or false when none is usable. Excluded
@@ -224,6 +244,9 @@
 		if minUnread > w.Tokens-sharedTokens(w) {
 			cost += b.uncachedCost(now, c.target, w, affinityID)
 		}
+		if b.pathless(now, c.target) {
+			cost += detourCost
+		}
 		cost = b.jitter(cost)
 		if best == nil || cost < bestCost {
 			best, prediction, bestCost = c, p, cost
@@ -241,6 +264,7 @@
 		return Choice{}, false
 	}
 	choice := Choice{Target: best.Target, MinUnread: minUnread, Prediction: prediction, Pause: meanPause(now, targets)}
+	choice.NoPath = b.pathless(now, best.target)
 	if best.doubt.number == 0 {
 		choice.Version = best.Version()
 	}
@@ -296,6 +320,9 @@
 	jitterShare = 0.15
 	// jitterFloor does the same where all costs are near zero, between idle targets.
 	jitterFloor = 10 * time.Millisecond
+	// detourCost is the cost of passing a call to another host of the region because this one has
+	// no path to the target.
+	detourCost = 40 * time.Millisecond
 	// maxUncachedCost is the largest cost of reading parts that no target is known to have
 	// cached at a target other than the one that they hash to.
 	maxUncachedCost = 20 * time.Millisecond
@@ -352,6 +379,7 @@
 	var preferred, avoided, excluded []*target
 	for _, t := range b.services[w.Service] {
 		switch {
+		case b.pathless(now, t) && (!w.Detour || t.restricted(now)):
 		case !b.usable(now, t), t.limitWait(now, w.Priority) > 0, t.limit.Limited && w.NoLimited:
 		case w.Version != continuation.Unknown && (t.doubt.number > 0 || t.Version() != w.Version):
 		case slices.Contains(exclude, t.ID):
@@ -441,6 +469,7 @@
 		return
 	}
 	f.firstByteSeen = true
+	b.recordResponse(f.startedAt, f.target)
 	b.refuteDoubt(now, f)
 	if f.target.probation.flight == f {
 		f.target.probation = probation{}
@@ -458,6 +487,15 @@
 	unresponsive := r == Silent && f.target.unresponsive(now)
 	delete(f.target.inFlight, f)
 	f.target.updateBusyPeriod(now)
+	switch {
+	case r == Unreached:
+		b.recordNoPath(now, f.target)
+		return
+	case r == Silent && b.pathless(now, f.target):
+		return
+	case r == Answered || r == Failed || r == Refused || r == Deferred:
+		b.recordResponse(f.startedAt, f.target)
+	}
 	f.target.health.record(now, r)
 	if unresponsive && !f.target.health.ejected(now) {
 		f.target.health.eject(now)
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -33,6 +33,8 @@
 	entryTTL      = 3600 * time.Millisecond
 	healthPoll    = 100 * time.Millisecond
 	healthTimeout = 150 * time.Millisecond
+	pathPoll      = 50 * time.Millisecond
+	probeTimeout  = 200 * time.Millisecond
 )
 
 // coldStep changes the simulated region.
@@ -88,6 +90,9 @@
 	frozenUntil time.Time
 	deferred    []func() // run when the host wakes
 	unreachable string   // target to which the host has no path
+	probing     bool
+	reach       balance.Reach            // as last told to others
+	reaches     map[string]balance.Reach // as told by others
 	known       map[string]int
 }
 
@@ -133,7 +138,7 @@
 			}
 		})
 	}
-	h.startedAt, h.known, h.deferred = startedAt, known, nil
+	h.startedAt, h.known, h.deferred, h.probing, h.reach, h.reaches = startedAt, known, nil, false, balance.ReachMost, map[string]balance.Reach{}
 	h.balancer = balance.NewBalancer("north", r.random.Uint64())
 	r.configure(h)
 	for _, other := range r.hosts {
@@ -143,11 +148,13 @@
 		})
 	}
 	r.every(h, healthPoll, r.pollHealth)
+	r.every(h, pathPoll, r.probePaths)
 	r.every(h, shareInterval, func(h *coldHost) {
 		share := h.balancer.Share(r.now)
 		for _, other := range r.hosts {
 			r.deliver(h, other, func() { other.balancer.Merge(r.now, h.name, share) })
 		}
+		r.tellReach(h) // a lost message is made up for by a later one
 	})
 }
 
@@ -211,6 +218,13 @@
 		reached := other.part == h.part && (other == h || !r.now.Before(other.frozenUntil))
 		if reached {
 			view.Live = append(view.Live, other.name)
+			reach, told := h.reaches[other.name]
+			if other == h {
+				reach, told = h.balancer.Reach(), true
+			}
+			if !told || reach != balance.ReachNone {
+				view.Attached = append(view.Attached, other.name)
+			}
 		}
 		if reached || h.startedAt.Before(start) || !h.startedAt.Before(r.now.Add(-time.Nanosecond)) {
 			view.Known++
@@ -296,6 +310,53 @@
 	}
 }
 
+// probePaths does what a host does about its paths to targets.
+func (r *coldRegion) probePaths(h *coldHost) {
+	if h.probing {
+		return
+	}
+	h.probing = true
+	due := h.balancer.DueProbes(r.now)
+	opened, longest := make([]bool, len(due)), time.Duration(0)
+	for i, probed := range due {
+		t := r.targetOf(probed.ID)
+		took := time.Duration(r.random.Int64N(int64(3 * time.Millisecond)))
+		if (!t.up && t.dark) || h.unreachable == t.id {
+			took = probeTimeout
+		}
+		longest = max(longest, took)
+		r.after(took/2, func() { opened[i] = t.up && h.unreachable != t.id })
+	}
+	r.after(longest, func() {
+		r.atHost(h, func() {
+			h.probing = false
+			for i, probed := range due {
+				if doubt, to, ok := h.balancer.RecordProbe(r.now, probed, opened[i]); ok {
+					r.sendDoubt(h, to, doubt)
+				}
+			}
+			if h.balancer.UpdateReach(r.now) {
+				h.reach = h.balancer.Reach()
+				r.updateView(h)
+				r.tellReach(h)
+			}
+		})
+	})
+}
+
+// tellReach tells the other hosts how many targets a host has a path to.
+func (r *coldRegion) tellReach(h *coldHost) {
+	reach := h.reach
+	for _, other := range r.hosts {
+		r.deliver(h, other, func() {
+			if known, ok := other.reaches[h.name]; !ok || known != reach {
+				other.reaches[h.name] = reach
+				r.updateView(other)
+			}
+		})
+	}
+}
+
 // recordNoHealth records a check that the target did not answer.
 func (r *coldRegion) recordNoHealth(h *coldHost, check balance.HealthCheck) {
 	if h.balancer.RecordNoHealth(r.now, check) {
@@ -323,9 +384,13 @@
 
 func (r *coldRegion) doubt(h *coldHost, t *crashingTarget, incarnation string, ended bool) {
 	doubt, to, isNew := h.balancer.DoubtProcess(r.now, t.id, incarnation, ended)
-	if !isNew {
-		return
+	if isNew {
+		r.sendDoubt(h, to, doubt)
 	}
+}
+
+// sendDoubt tells a host, empty for the same one, of a doubt.
+func (r *coldRegion) sendDoubt(h *coldHost, to string, doubt balance.Doubt) {
 	if to == "" {
 		r.pollHealth(h)
 		return
--- a/internal/balance/doubt.go
+++ b/internal/balance/doubt.go
@@ -153,6 +153,9 @@
 		return Doubt{}, "", false
 	}
 	t.doubt.signAt = now
+	if b.detached || t.path.down && t.path.failures > 1 {
+		return Doubt{}, "", false // it is known that this host has no path
+	}
 	if t.doubt.number > 0 && (t.doubt.ended || !ended) {
 		return Doubt{}, "", false
 	}
@@ -277,13 +280,15 @@
 func (b *Balancer) DueDoubts(now time.Time) map[string][]Doubt {
 	b.recordPoll(now)
 	out := map[string][]Doubt{}
+	if b.detached {
+		return out
+	}
 	for t := range b.eachTarget() {
 		if t.doubt.number == 0 || t.cold(now) {
 			continue
 		}
 		if t.assigned.host == b.hosts.Self {
-			if !t.doubt.announced && (t.doubt.ended || now.Sub(t.doubt.since) >= suspicionTime) {
-				t.doubt.announced = true
+			if t.announceDoubt(now) {
 				out[""] = append(out[""], t.doubtReport())
 			}
 			continue
@@ -314,6 +319,16 @@
 	return out
 }
 
+// announceDoubt reports whether the host that the target is assigned to must tell all others of the
+// doubt now.
+func (t *target) announceDoubt(now time.Time) bool {
+	if t.doubt.announced || !t.doubt.ended && now.Sub(t.doubt.since) < suspicionTime {
+		return false
+	}
+	t.doubt.announced = true
+	return true
+}
+
 // HealthCheck is a check of a target's health that must be made now.
 type HealthCheck struct {
 	Target catalogue.Target
@@ -324,6 +339,9 @@
 // DueHealthChecks returns the checks of targets whose process is in doubt: of those that are
 // assigned to this host, and of others whose doubt lasts for long.
 func (b *Balancer) DueHealthChecks(now time.Time) []HealthCheck {
+	if b.detached {
+		return nil
+	}
 	var out []HealthCheck
 	for t := range b.eachTarget() {
 		if t.doubt.number == 0 || !b.reserveCheck(now, t) {
@@ -430,6 +448,10 @@
 		return false
 	}
 	t.doubt, t.statedColdUntil = doubt{}, time.Time{}
+	t.path.confirmedAt = now
+	if t.path.down {
+		t.path.probeAt = now
+	}
 	return true
 }
 
@@ -455,6 +477,9 @@
 
 // sharedDoubts returns the announced doubts, so that hosts that have just started learn of them.
 func (b *Balancer) sharedDoubts() []Doubt {
+	if b.detached {
+		return nil
+	}
 	var out []Doubt
 	for t := range b.eachTarget() {
 		if t.doubt.number > 0 && t.doubt.announced && len(out) < maxSharedDoubts {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -36,7 +36,7 @@
 	Refused
 	// Deferred is a refusal with a time for which the target asks the host to back off.
 	Deferred
-	// Unreached means that no connection was made.
+	// Unreached means that no connection was made. It counts against the path to the target.
 	Unreached
 	// Silent means that the call was sent but no complete response arrived.
 	Silent
@@ -60,7 +60,7 @@
 }
 
 func (h *health) record(now time.Time, r Result) {
-	if r == Abandoned || r == Deferred {
+	if r == Abandoned || r == Deferred || r == Unreached {
 		return
 	}
 	h.failedShare, h.updatedAt = h.failureRate(now), now
@@ -74,7 +74,7 @@
 	}
 	h.failedShare += sampleWeight * (1 - h.failedShare)
 	h.consecutive++
-	if r == Unreached || h.consecutive > toleratedFailures {
+	if h.consecutive > toleratedFailures {
 		h.eject(now)
 	}
 }
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -185,13 +185,15 @@
 
 // TargetDump is the host's state of a target, for operators.
 type TargetDump struct {
-	ID         string
-	Service    string
-	Address    string
-	State      string
-	Cold       bool
-	InDoubt    bool
-	Usable     bool
+	ID      string
+	Service string
+	Address string
+	State   string
+	Cold    bool
+	InDoubt bool
+	Usable  bool
+	// PathDown is set if the host has no path to the target.
+	PathDown   bool `json:",omitempty"`
 	Ejected    bool
 	BackingOff bool `json:"Spared"`
 	Flights    int
@@ -222,7 +224,7 @@
 	for _, t := range b.targets {
 		d := TargetDump{
 			ID: t.ID, Service: t.Service, Address: t.Address, State: t.State.String(), Cold: t.cold(now), InDoubt: t.doubt.number > 0,
-			Usable: b.usable(now, t), Ejected: t.health.ejected(now), BackingOff: t.backsOff(now) || t.peersBackOff(now), Flights: t.flightCount(now),
+			Usable: b.usable(now, t), PathDown: b.pathless(now, t), Ejected: t.health.ejected(now), BackingOff: t.backsOff(now) || t.peersBackOff(now), Flights: t.flightCount(now),
 			Backlog: int(t.backlog(now, priorityClasses)), Rate: t.rate(), FaultRate: t.health.failureRate(now),
 		}
 		if t.limit.Limited {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -45,6 +45,7 @@
 	assigned         assignment
 	doubt            doubt
 	probation        probation
+	path             path
 	// nextCheckAt is when the host may check the target's health again.
 	nextCheckAt time.Time
 	// statedColdUntil is when the target stops being cold by its own statement.
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -36,6 +36,9 @@
 	NoHold bool
 	// NoLimited reports that the call must not be sent to a target with a limit.
 	NoLimited bool
+	// Detour reports that the call may be passed to a host of the region that has a path to targets
+	// to which this host has none.
+	Detour bool
 	// Version is the software version at which a stream must go on, Unknown for any.
 	Version continuation.Version
 	// Young are versions that not all hosts may know yet. They begin streams only if there are no
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -213,6 +213,21 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// Open opens a connection to address and keeps it for reuse.
+func (p *Pool) Open(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return wrap("open", Unsent, err)
+	}
+	p.put(c)
+	return nil
+}
+
+// dial opens a new connection to address.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	if p.openTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, p.openTimeout)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -38,6 +38,10 @@
 	refusals     int           // attempts that were refused without running the call
 	triedTargets []string
 	triedRegions []string
+	// triedNeighbours are the hosts of the own region that the call was passed to.
+	triedNeighbours []string
+	unsent          int  // attempts that reached neither a target nor a host with a path
+	counted         bool // the call has added to the retry budget
 	// regionRetryAfter is the shortest Retry-After of the tried regions, 0 if none gave one.
 	regionRetryAfter time.Duration
 	steps            []string // decisions and their results, for the log
@@ -63,6 +67,7 @@
 	reason     string
 	upstream   *upstreamResponse // nil for a response of the host itself
 	suspect    bool              // the call is refused because of a part of its prompt
+	noPath     bool              // the call is refused because the host has no path to its targets
 }
 
 // hostReply returns a response of the host itself. Its outcome is NotRun only if no attempt
@@ -78,8 +83,12 @@
 	return reply{status: status, outcome: core.Unknown, reason: reason}
 }
 
-// maxRefusals bounds the attempts of one call that targets or regions refuse.
-const maxRefusals = 2
+const (
+	// maxRefusals bounds the attempts of one call that targets or regions refuse.
+	maxRefusals = 2
+	// maxUnsent bounds the attempts of one call that reach neither a target nor a host with a path.
+	maxUnsent = 4
+)
 
 // run makes attempts until one yields a response or no further attempt is allowed.
 func (c *activeCall) run() reply {
@@ -88,41 +97,30 @@
 		if r, refused := c.quarantined(); refused {
 			return r
 		}
-		if c.ctx.Err() != nil {
-			return c.hostReply("the time is over", shortRetryAfter)
-		}
-		if c.refusals > maxRefusals {
-			return c.hostReply("targets refuse the call", c.gateway.jitter(shortRetryAfter))
+		if r, over := c.exhausted(); over {
+			return r
 		}
 		c.awaitCatchUp()
 		c.work.NoLimited = denials >= maxDenials
 		decision, choice := c.decide()
-		if decision.Local && choice.Prediction.Hold > 0 {
+		local := decision.Local && !choice.NoPath
+		if local && choice.Prediction.Hold > 0 {
 			c.hold(choice.Prediction.Hold)
 			c.steps = c.steps[:len(c.steps)-1] // replaced by the decision after the hold
 			continue
 		}
-		if decision.Local && !c.admit(choice.Target) {
+		if local && !c.admit(choice.Target) {
 			c.steps = c.steps[:len(c.steps)-1] // replaced by the next decision
 			denials++
 			continue
 		}
-		if decision.Local && !c.startTrial() {
+		if local && !c.startTrial() {
 			return c.suspectReply()
 		}
-		var u *upstreamResponse
-		var r result
-		switch {
-		case decision.Local:
-			u, r = c.sendToTarget(choice)
-		case decision.Region != "":
-			u, r = c.sendToRegion(decision.Region)
-		default:
-			if decision.AtLimit {
-				c.countLimitRefusal()
-			}
-			return c.hostReply(decision.Reason, decision.RetryAfter)
+		if !decision.Local && decision.Region == "" {
+			return c.refuse(decision)
 		}
+		u, r := c.send(decision, choice)
 		if u != nil {
 			return reply{status: u.response.Status(), outcome: core.Run, upstream: u, reason: decision.Reason}
 		}
@@ -132,6 +130,42 @@
 	}
 }
 
+// exhausted returns the reply to a call that has no time or no attempts left.
+func (c *activeCall) exhausted() (reply, bool) {
+	switch {
+	case c.ctx.Err() != nil:
+		return c.hostReply("the time is over", shortRetryAfter), true
+	case c.refusals > maxRefusals:
+		return c.hostReply("targets refuse the call", c.gateway.jitter(shortRetryAfter)), true
+	case c.unsent > maxUnsent:
+		return c.hostReply("the call reaches no target", c.gateway.jitter(shortRetryAfter)), true
+	default:
+		return reply{}, false
+	}
+}
+
+// send makes an attempt where the decision sends the call.
+func (c *activeCall) send(d balance.Decision, choice balance.Choice) (*upstreamResponse, result) {
+	switch {
+	case !d.Local:
+		return c.sendToRegion(d.Region)
+	case choice.NoPath:
+		return c.sendToNeighbour()
+	default:
+		return c.sendToTarget(choice)
+	}
+}
+
+// refuse returns the reply to a call that is sent nowhere.
+func (c *activeCall) refuse(d balance.Decision) reply {
+	if d.AtLimit {
+		c.countLimitRefusal()
+	}
+	out := c.hostReply(d.Reason, d.RetryAfter)
+	out.noPath = c.gateway.isDetached()
+	return out
+}
+
 // failureReply returns the reply to a call whose last attempt failed.
 func (c *activeCall) failureReply(r result) reply {
 	if !r.suspect {
@@ -169,6 +203,13 @@
 	// retryAfter is what it stated.
 	suspect    bool
 	retryAfter time.Duration
+	// unsent is set if the call reached neither a target nor a host with a path.
+	unsent bool
+}
+
+// unsentResult returns the result of an attempt that reached neither a target nor a host with a path.
+func unsentResult(reason string) result {
+	return result{outcome: core.NotRun, reason: reason, unsent: true}
 }
 
 // recordFailedAttempt counts an attempt without a response and reports whether another one may follow.
@@ -176,6 +217,10 @@
 	if r.last {
 		return false
 	}
+	if r.unsent {
+		c.unsent++
+		return c.ctx.Err() == nil
+	}
 	if r.outcome == core.NotRun {
 		c.refusals++
 		return c.ctx.Err() == nil
@@ -189,7 +234,7 @@
 func (c *activeCall) decide() (balance.Decision, balance.Choice) {
 	c.work.Loads = nil
 	input, decision := c.evaluate()
-	if decision.Local {
+	if decision.Local && !input.Local.NoPath {
 		c.queryCoordinators()
 	}
 	if len(c.work.Loads) > 0 {
@@ -217,6 +262,8 @@
 		input.LatencyObjective = 0 // after an attempt that may have run, a late response is better than none
 	}
 	regions := c.candidateRegions()
+	_, c.work.Detour = c.neighbour()
+	input.Work.Detour = c.work.Detour
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
 	if c.route.MayServe(c.gateway.settings.Region) {
@@ -246,15 +293,17 @@
 		return nil
 	}
 	var out []string
+	live := c.gateway.liveRegions()
+	serving := c.gateway.servingRegions(live)
 	var withVersion map[string]bool
 	if c.work.Version != continuation.Unknown {
 		withVersion = c.regionsOfVersion()
 	}
-	for _, region := range c.gateway.liveRegions() {
+	for _, region := range live {
 		if withVersion != nil && !withVersion[region] {
 			continue
 		}
-		if c.route.MayServe(region) && !slices.Contains(c.triedRegions, region) {
+		if c.route.MayServe(region) && !slices.Contains(c.triedRegions, region) && serving[region] {
 			out = append(out, region)
 		}
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -21,8 +21,13 @@
 	maxSuspectedCrashes = 1024
 	// A target that broke off calls is probed after firstProbeDelay, when all of its calls have
 	// broken off, and again after lastProbeDelay if it accepted a connection.
-	firstProbeDelay     = 20 * time.Millisecond
-	lastProbeDelay      = 150 * time.Millisecond
+	firstProbeDelay = 20 * time.Millisecond
+	lastProbeDelay  = 150 * time.Millisecond
+	// confirmationDelay is how long another host may take to tell that a target runs which accepts
+	// no connection of this one.
+	confirmationDelay = 30 * time.Millisecond
+	// maxExaminations bounds the probes of a target while no other target responds.
+	maxExaminations     = 8
 	crashProbeTimeout   = 300 * time.Millisecond
 	maxConcurrentProbes = 8
 	// idleExaminationInterval is how long the examination sleeps while nothing is due.
@@ -54,7 +59,10 @@
 	parts   []string
 	tried   []string
 	probes  int
+	began   time.Time
 	due     time.Time
+	// refusedAt is when the target first refused a probe.
+	refusedAt time.Time
 }
 
 // reportSuspectedCrash queues the examination of a target that broke off a call after the given
@@ -109,7 +117,7 @@
 		if len(examinations) >= maxExaminedTargets {
 			return
 		}
-		e = &examination{target: s.target, due: now.Add(firstProbeDelay)}
+		e = &examination{target: s.target, began: now, due: now.Add(firstProbeDelay)}
 		examinations[s.target.Incarnation] = e
 	}
 	e.digests = append(e.digests, s.digest)
@@ -139,8 +147,19 @@
 		e := examinations[incarnation]
 		e.probes++
 		switch {
-		case *result:
+		case *result && e.refusedAt.IsZero():
+			e.refusedAt, e.due = now, now.Add(confirmationDelay)
 			g.doubtProcess(e.target, true, signExamined)
+		case *result && g.confirmed(e):
+			g.log.Info("A target that broke off calls runs, but this host has no path to it.", "Target", incarnation, "Calls", len(e.digests))
+			delete(examinations, incarnation)
+		case *result && !g.canJudge(e):
+			e.due = now.Add(lastProbeDelay)
+			if e.probes >= maxExaminations {
+				g.log.Info("A target that broke off calls accepts no connection, but this host may have no path to it.", "Target", incarnation, "Calls", len(e.digests))
+				delete(examinations, incarnation)
+			}
+		case *result:
 			g.recordExamination(e)
 			delete(examinations, incarnation)
 		case e.probes == 1:
@@ -152,6 +171,22 @@
 	}
 }
 
+// confirmed reports whether another host has told that the process of the target runs, after it
+// refused a probe of this host.
+func (g *Gateway) confirmed(e *examination) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.ConfirmedSince(e.target.ID, e.began)
+}
+
+// canJudge reports whether a refused connection says something about the target of an examination:
+// another target has responded since the calls broke off, or there is none.
+func (g *Gateway) canJudge(e *examination) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.RespondedSince(e.began) || !g.balancer.HasOtherTargets(e.target.ID)
+}
+
 // refusesConnections reports whether nothing listens at the address any more. A host that cannot
 // reach the target does not know.
 func (g *Gateway) refusesConnections(ctx context.Context, address string) bool {
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -52,6 +52,7 @@
 // the target's process has ended. A response that is too long or no HTTP is none.
 func (g *Gateway) recordSendFailure(t catalogue.Target, err error) {
 	kind, _ := failure.KindOf[exchange.Kind](err)
+	defer g.suspectPath(t)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.doubtProcess(t, true, signRefused)
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -180,6 +180,8 @@
 		err = applyItem(item, g.applyPartCrash)
 	case partClearanceKeyPrefix:
 		err = applyItem(item, g.applyClearance)
+	case reachKeyPrefix:
+		err = applyItem(item, g.applyReach)
 	case partTrialKeyPrefix:
 		err = applyItem(item, g.applyTrial)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +35,8 @@
 	headerTarget   = "Gateway-Target"
 	headerReason   = "Gateway-Reason"
 	headerOutdated = "Gateway-Behind"
+	// headerNoPath is set if the call is refused because the host has no path to its targets.
+	headerNoPath = "Gateway-No-Path"
 	// headerSuspect is set if the call is refused because a part of its prompt may crash targets.
 	headerSuspect = "Gateway-Suspect"
 )
@@ -42,27 +45,34 @@
 // targets and never on to a third region.
 func (c *activeCall) sendToRegion(region string) (*upstreamResponse, result) {
 	c.triedRegions = append(c.triedRegions, region)
-	host, ok := c.gateway.pickHost(region, c.work.Version != continuation.Unknown)
+	host, ok := c.gateway.pickHost(func(m member.Info) bool { return m.Region == region && c.understands(m) })
 	if !ok {
 		c.gateway.recordRegionUnreachable(region)
 		return nil, result{outcome: core.NotRun, reason: "no host of region " + region}
 	}
-	if c.attempts > 0 && !c.chargeRetryBudget() {
-		return nil, result{outcome: c.outcomeWithoutRetry(), reason: "the budget for repeats is spent", last: true}
-	}
 	c.gateway.mu.Lock()
 	c.gateway.regions.CountSent(c.gateway.clock.Now(), region, c.work)
 	c.gateway.mu.Unlock()
+	return c.forward(host)
+}
+
+// forward sends the call to another host, which sends it to one of its targets.
+func (c *activeCall) forward(host member.Info) (*upstreamResponse, result) {
+	if c.attempts > 0 && !c.chargeRetryBudget() {
+		return nil, result{outcome: c.outcomeWithoutRetry(), reason: "the budget for repeats is spent", last: true}
+	}
 	a := c.newAttempt(c.remaining(), "")
 	request := c.newRegionRequest()
 	defer fasthttp.ReleaseRequest(request)
 	start := c.gateway.clock.Now()
 	response, err := c.gateway.peerPool.Do(a.ctx, host.PeerAddress, request)
 	if err != nil {
-		return nil, a.regionSendFailed(region, host, err)
+		return nil, a.forwardFailed(host, err)
+	}
+	if host.Region != c.gateway.settings.Region {
+		c.gateway.recordRoundTrip(host.Region, c.gateway.clock.Now().Sub(start), response.Get(headerElapsed))
 	}
-	c.gateway.recordRoundTrip(region, c.gateway.clock.Now().Sub(start), response.Get(headerElapsed))
-	return a.readRegionResponse(region, host, response)
+	return a.readForwardResponse(host, response)
 }
 
 func (c *activeCall) newRegionRequest() *fasthttp.Request {
@@ -85,25 +95,25 @@
 	return request
 }
 
-// regionSendFailed ends an attempt in another region that brought no response.
-func (a *attempt) regionSendFailed(region string, host member.Info, err error) result {
+// forwardFailed ends an attempt at another host that brought no response.
+func (a *attempt) forwardFailed(host member.Info, err error) result {
 	c := a.call
 	kind, _ := failure.KindOf[exchange.Kind](err)
 	c.addStep("host %s: %v", host.Host, err)
 	cancelled := a.ctx.Err() != nil
 	a.end(balance.Abandoned)
 	if !cancelled {
-		c.gateway.recordHostFailure(host.Host, region)
+		c.gateway.recordHostFailure(host.Host, host.Region)
 	}
 	if kind == exchange.Unsent {
-		return result{outcome: core.NotRun, reason: "no connection to another region"}
+		return unsentResult("no connection to another host")
 	}
 	c.attempts++
-	return result{outcome: core.Unknown, reason: "another region did not answer"}
+	return result{outcome: core.Unknown, reason: "another host did not answer"}
 }
 
-// readRegionResponse handles the response of a host in another region.
-func (a *attempt) readRegionResponse(region string, host member.Info, response *exchange.Response) (*upstreamResponse, result) {
+// readForwardResponse handles the response of another host.
+func (a *attempt) readForwardResponse(host member.Info, response *exchange.Response) (*upstreamResponse, result) {
 	c := a.call
 	outcome := core.ParseOutcome(response.Get(core.HeaderOutcome))
 	reason := response.Get(headerReason)
@@ -114,17 +124,24 @@
 		a.end(balance.Abandoned)
 		c.addStep("host %s: %s, %s", host.Host, outcome, reason)
 		if outcome == core.NotRun && len(response.Get(headerOutdated)) > 0 {
-			c.gateway.avoidOutdatedHost(host.Host)
-			c.triedRegions = c.triedRegions[:len(c.triedRegions)-1] // other hosts of the region may have the configuration
+			c.gateway.avoidHost(host.Host, outdatedHostPause)
+			c.retryRegion(host.Region) // other hosts of the region may have the configuration
 			return nil, result{outcome: outcome, reason: reason}
 		}
+		if outcome == core.NotRun && len(response.Get(headerNoPath)) > 0 {
+			c.gateway.avoidHost(host.Host, pathlessPause)
+			c.retryRegion(host.Region)
+			return nil, unsentResult(reason)
+		}
 		if outcome == core.NotRun && len(response.Get(headerSuspect)) > 0 {
 			c.recordRegionRetryAfter(response.Get(fasthttp.HeaderRetryAfter))
 			return nil, suspectResult(reason, max(c.regionRetryAfter, shortRetryAfter))
 		}
 		if outcome == core.NotRun {
 			c.recordRegionRetryAfter(response.Get(fasthttp.HeaderRetryAfter))
-			c.gateway.recordRegionRefusal(region, c.work)
+			if host.Region != c.gateway.settings.Region {
+				c.gateway.recordRegionRefusal(host.Region, c.work)
+			}
 			return nil, result{outcome: outcome, reason: reason}
 		}
 		c.attempts++
@@ -142,6 +159,11 @@
 	return a.finishResponse(u, min(response.Status(), fasthttp.StatusOK))
 }
 
+// retryRegion lets the call go to another host of a region.
+func (c *activeCall) retryRegion(region string) {
+	c.triedRegions = slices.DeleteFunc(c.triedRegions, func(r string) bool { return r == region })
+}
+
 // recordRegionRetryAfter records the Retry-After of a region that refused the call, given in
 // seconds.
 func (c *activeCall) recordRegionRetryAfter(text string) {
@@ -196,7 +218,7 @@
 	}
 }
 
-// serveForwardedCall runs a call that a host of another region forwarded.
+// serveForwardedCall runs a call that another host forwarded.
 func (g *Gateway) serveForwardedCall(ctx *fasthttp.RequestCtx) {
 	h := &ctx.Request.Header
 	passed := core.ParseHops(string(h.Peek(core.HeaderPassed)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 //	admission.go    limits of targets that the hosts of a region share
 //	replies.go      replies of other hosts that calls wait for
 //	members.go      live hosts, readiness and the directory for callers
+//	paths.go        paths of hosts to the targets of their region
 //	updates.go      store updates that one host reads for its data centre
 //	peers.go        requests between hosts
 //	observe.go      metrics, state dump and the log line of a call
@@ -107,6 +108,8 @@
 	clearances       *ring.Queue[dueClearance]
 	updates          *ring.Queue[catalogue.Update]
 	doubtsRaised     chan struct{} // wakes checkHealth
+	pathsSuspected   chan struct{} // wakes probePaths
+	reachReports     int64         // reports posted; only probePaths uses it
 	messageConn      net.PacketConn
 	gossipConn       net.PacketConn
 	servers          []namedServer
@@ -129,6 +132,7 @@
 	runningStreams  map[*activeCall]streamRecord
 	typicalTimes    map[string]time.Duration // processing time by route
 	avoidUntil      map[string]time.Time     // by host; no call is forwarded to it before
+	reaches         map[string]knownReach    // by host
 	lastMessages    map[string]messageStamp  // by host
 	// regionLastSeen is when the last message of each other region arrived.
 	regionLastSeen map[string]time.Time
@@ -194,13 +198,13 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), doubtsRaised: make(chan struct{}, 1),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
 		parts:      quarantine.NewParts(),
 		streams:    continuation.NewRecords(streamRetention), versions: continuation.NewHistory(versionRetention), runningStreams: map[*activeCall]streamRecord{},
-		avoidUntil: map[string]time.Time{}, lastMessages: map[string]messageStamp{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
+		avoidUntil: map[string]time.Time{}, reaches: map[string]knownReach{}, lastMessages: map[string]messageStamp{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
@@ -280,6 +284,7 @@
 	group.Go("limit lender", g.lendLimits)
 	group.Go("examiner", g.examineCrashes)
 	group.Go("health checker", g.checkHealth)
+	group.Go("path prober", g.probePaths)
 	group.Go("lister", g.pollCacheLists)
 	group.Go("hang-ups", func(ctx context.Context) error { return g.hangups.Run(ctx, g.clock) })
 	for _, s := range g.servers {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -144,6 +144,9 @@
 	if r.suspect {
 		h.Set(headerSuspect, "1")
 	}
+	if r.noPath {
+		h.Set(headerNoPath, "1")
+	}
 	if r.retryAfter > 0 {
 		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -182,7 +185,7 @@
 		}
 		c.setElapsedHeader(h)
 	} else {
-		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect, headerVersion} {
+		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect, headerNoPath, headerVersion} {
 			h.Del(name)
 		}
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/continuation"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
@@ -57,20 +58,10 @@
 	return out
 }
 
-// pickHost returns a random host of another region to which calls may be forwarded. With
-// versions, the host must understand the software version of a stream.
-func (g *Gateway) pickHost(region string, versions bool) (member.Info, bool) {
-	view := g.gossip.View()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock.Now()
-	hosts := view.Filter(func(m member.Info) bool {
-		return m.Region == region && m.InUse() && now.After(g.avoidUntil[m.Host]) && (!versions || m.Protocol >= member.ProtocolVersions)
-	})
-	if len(hosts) == 0 {
-		return member.Info{}, false
-	}
-	return hosts[g.rng.IntN(len(hosts))], true
+// understands reports whether a host can hold to the software version of the call's stream, if it
+// has one.
+func (c *activeCall) understands(m member.Info) bool {
+	return c.work.Version == continuation.Unknown || m.Protocol >= member.ProtocolVersions
 }
 
 // recordHostFailure records a forwarded call that the host did not answer.
@@ -79,14 +70,16 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.avoidUntil[host] = now.Add(hostFailurePause)
-	g.regions.MarkLost(now, region)
+	if region != g.settings.Region {
+		g.regions.MarkLost(now, region)
+	}
 }
 
-// avoidOutdatedHost pauses the forwarding of calls to a host with an older configuration.
-func (g *Gateway) avoidOutdatedHost(host string) {
+// avoidHost pauses the forwarding of calls to a host that cannot serve them.
+func (g *Gateway) avoidHost(host string, pause time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.avoidUntil[host] = g.clock.Now().Add(outdatedHostPause)
+	g.avoidUntil[host] = g.clock.Now().Add(pause)
 }
 
 // silentPeers returns the other hosts of the region whose load reports have stopped. It
@@ -114,6 +107,8 @@
 	view := g.gossip.View()
 	silent := g.silentPeers()
 	hosts := balance.Hosts{Self: g.settings.Host, Legacy: map[string]bool{}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, m := range view.Members {
 		if m.Region != g.settings.Region {
 			continue
@@ -127,13 +122,14 @@
 		hosts.Known++
 		if m.InUse() && !silent[m.Host] {
 			hosts.Live = append(hosts.Live, m.Host)
+			if g.reachOf(m) != balance.ReachNone {
+				hosts.Attached = append(hosts.Attached, m.Host)
+			}
 			hosts.Legacy[m.Host] = m.Protocol < member.ProtocolVersions
 		}
 	}
 	uptime := g.clock.Now().Sub(g.started)
 	hosts.Settled = uptime > aloneDiscoveryTime || (uptime > discoveryTime && hosts.Known > 1)
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.balancer.SetHosts(g.clock.Now(), hosts)
 }
 
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -78,6 +78,8 @@
 	Targets      []balance.TargetDump
 	KnownTargets int
 	Regions      []string
+	// Reach is how many targets of its region the host has a path to.
+	Reach string
 	// SuspectedParts and QuarantinedParts count parts of prompts that may crash targets.
 	SuspectedParts   int
 	QuarantinedParts int
@@ -97,7 +99,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	d.Targets = g.balancer.Dump(now)
+	d.Targets, d.Reach = g.balancer.Dump(now), g.balancer.Reach().String()
 	d.SuspectedParts, d.QuarantinedParts = g.parts.Counts(now)
 	return d
 }
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -137,7 +137,10 @@
 		others = append(others, list[(g.regionTurn+position)%len(list)])
 	}
 	g.mu.Lock()
-	states := g.balancer.States(now)
+	var states map[string]balance.ServiceState // none if no host of the region has a path to targets
+	if g.regionServes(g.settings.Region) {
+		states = g.balancer.States(now)
+	}
 	g.mu.Unlock()
 	g.sendMessage(peerMessage{Services: states}, others)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -237,7 +237,10 @@
 	defer c.gateway.mu.Unlock()
 	budget, now := c.gateway.budget(c.service), c.gateway.clock.Now()
 	if c.attempts+c.refusals == 0 {
-		budget.Deposit(now)
+		if !c.counted {
+			c.counted = true
+			budget.Deposit(now)
+		}
 		return true
 	}
 	return budget.TryWithdraw(now)
@@ -289,7 +292,8 @@
 	}
 	if kind == exchange.Unsent {
 		a.end(a.resultUnlessCancelled(balance.Unreached))
-		return result{outcome: core.NotRun, reason: "no connection to a target"}
+		c.gateway.wakePathProbes()
+		return unsentResult("no connection to a target")
 	}
 	c.attempts++
 	return a.endUnanswered("a target did not answer")
