internal/gateway: count only hosts that were heard as reached

Streams that had begun at a new software version went on at a target of the old one (ORDER), when callers took them up at a host that was cut off from the store and all others. Such a host took itself for reaching all: the list of silent hosts is empty if most are silent, as the directory wants it, and hosts that are in the list of members but not in that of silent ones counted as reached.

A host now counts as reached only if a load report of it was heard within the time for which news from the store are trusted.

--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -147,7 +147,6 @@
 	if g.clock.Now().Sub(g.follower.LastContact()) < contactTimeout {
 		return true
 	}
-	silent := g.silentPeers()
 	members, reached := 0, 0
 	live := map[string]bool{g.settings.Region: true}
 	for _, region := range g.liveRegions() {
@@ -162,7 +161,7 @@
 		}
 		if m.Region == g.settings.Region {
 			members++
-			if m.InUse() && !silent[m.Host] {
+			if m.Host == g.settings.Host || m.InUse() && g.heardWithin(m.Host, contactTimeout) {
 				reached++
 			}
 		}
@@ -170,6 +169,14 @@
 	return 2*reached > members
 }
 
+// heardWithin reports whether a load report of a host was sent within a time.
+func (g *Gateway) heardWithin(host string, d time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	last, ok := g.lastMessages[host]
+	return ok && g.clock.Now().Sub(last.at) < d
+}
+
 // queryVersion asks the hosts that may know the stream for its version.
 func (c *activeCall) queryVersion() (continuation.Version, string) {
 	g := c.gateway
