internal/gateway, internal/catalogue: measure the age of news from when they were asked for

A host that had stood still, or whose machine had been suspended, took packets and answers that were seconds old for news of now, and sent streams that callers took up to a target of the only software version that it knew. The time of contact with the store was that at which an answer was handled, and the clock by which hosts measure spans does not run while the machine is suspended.

Contact with the store is now the time at which the host asked. An update of the host that reads for others states the age of its contact and the last load report that it has heard of the recipient, so that the recipient knows from its own clock when it was sent at the earliest, however long it was on the way. Load reports that are handled while a host catches up after a pause count as heard before the pause. A host compares its clock with the time since the start of the machine, and ages all that it has heard by the time of a suspension. Updates of hosts of earlier builds still change the catalogue but prove no contact.

The class is the age of a statement taken for the age of its arrival.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -63,7 +63,8 @@
 	doubts       uint64               // number of the last doubt of this host
 	refutations  []Statement          // see DueStatements
 	polledAt     time.Time            // last call of DueDoubts
-	resumedAt    time.Time            // when the process was found to have been paused
+	// resumedAt is when the process was found to have been paused, and pausedAt its last poll before.
+	resumedAt, pausedAt time.Time
 	// detached is set while the host has no path to any target, and attachedReach is how many it
 	// has one to otherwise. toldReach is the last result of UpdateReach. respondedAt is when a target last
 	// responded on a connection, and probedAt when the host last probed a path.
--- a/internal/balance/doubt.go
+++ b/internal/balance/doubt.go
@@ -264,16 +264,34 @@
 // recordPoll notices that the process was paused.
 func (b *Balancer) recordPoll(now time.Time) {
 	if b.wasPaused(now) {
-		b.resumedAt = now
-		for _, t := range b.targets {
-			if b.canDoubt(t) {
-				t.probation = probation{until: now.Add(probationTime)}
-			}
-		}
+		b.Resume(now)
 	}
 	b.polledAt = now
 }
 
+// HeardAt returns the latest time until which a message that is handled now may have been sent: before
+// the last pause, if the host still catches up.
+func (b *Balancer) HeardAt(now time.Time) time.Time {
+	switch {
+	case b.wasPaused(now):
+		return b.polledAt
+	case !b.resumedAt.IsZero() && now.Sub(b.resumedAt) < catchUpTime:
+		return b.pausedAt
+	default:
+		return now
+	}
+}
+
+// Resume records that the process was paused until now.
+func (b *Balancer) Resume(now time.Time) {
+	b.pausedAt, b.resumedAt = b.polledAt, now
+	for _, t := range b.targets {
+		if b.canDoubt(t) {
+			t.probation = probation{until: now.Add(probationTime)}
+		}
+	}
+}
+
 // DueDoubts returns the doubts to tell other hosts now, by recipient, and ends those that no
 // other host has taken up. An empty recipient stands for all hosts of the region: the assigned
 // host announces doubts that are not resolved at once.
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -268,7 +268,7 @@
 		Eventually(group.sent).WithTimeout(5 * time.Second).Should(Receive())
 
 		changes := []keyvalue.Event{put("config", "2", 5), put("target/a", "1 2 draining", 6), removal("target/b", 7)}
-		follower.HandleUpdate(catalogue.Update{Partial: true, Events: changes})
+		follower.HandleUpdate(catalogue.Update{Partial: true, Events: changes}, time.Time{})
 		Eventually(group.sent).Should(Receive(HaveField("Partial", true))) // and the peer does not receive it
 		store.changes <- changes
 		var update catalogue.Update
@@ -279,4 +279,47 @@
 		Expect(peer.Snapshot().Targets["a"].State).To(Equal(catalogue.Draining))
 		Expect(peer.Snapshot().Targets).NotTo(HaveKey("b"))
 	})
+
+	// Guards against a host that takes what it reads after a standstill for the state of now.
+	It("has all changes only until it asked for them, or until the time that another host states", func() {
+		manual := &manualClock{now: time.Unix(1000, 0)}
+		asked := manual.Now()
+		store := slowStore{clock: manual, delay: 3 * time.Second}
+		group := readerGroup{sent: make(chan catalogue.Update, 8)}
+		own := catalogue.New(testDecoder{}, map[string]string{"n1": "north"})
+		follower := catalogue.NewFollower(own, store, nil, group, manual, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.FollowStore(ctx) }()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(ended).WithTimeout(5 * time.Second).Should(Receive())
+		})
+		Eventually(follower.LastContact).Should(Equal(asked))
+
+		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, time.Time{})
+		Expect(follower.LastContact()).To(Equal(asked))
+		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, asked.Add(time.Second))
+		Expect(follower.LastContact()).To(Equal(asked.Add(time.Second)))
+		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, asked)
+		Expect(follower.LastContact()).To(Equal(asked.Add(time.Second)))
+		follower.ForgetContact()
+		Expect(follower.LastContact()).To(BeZero())
+	})
 })
+
+// slowStore is a store whose answers arrive after a delay.
+type slowStore struct {
+	clock *manualClock
+	delay time.Duration
+}
+
+func (s slowStore) Read(context.Context) (keyvalue.Page, error) {
+	s.clock.advance(s.delay)
+	return keyvalue.Page{Revision: 1}, nil
+}
+
+func (s slowStore) Changes(ctx context.Context, after int64) ([]keyvalue.Event, int64, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -74,7 +74,7 @@
 	log       logr.Logger
 	available chan bool // whether the store answered the last call
 	updated   chan struct{}
-	contactAt atomic.Int64 // last news from the store, in Unix nanoseconds
+	contactAt atomic.Pointer[time.Time] // see LastContact
 }
 
 // NewFollower returns a Follower.
@@ -85,11 +85,23 @@
 	}
 }
 
-// LastContact returns when this host last had all changes from the store, read by itself or by
-// the host that reads for its group.
-func (f *Follower) LastContact() time.Time { return time.Unix(0, f.contactAt.Load()) }
+// LastContact returns the time until which this host has all changes of the store, read by itself
+// or by the host that reads for its group. That is when they were asked for, not when they arrived.
+func (f *Follower) LastContact() time.Time {
+	if at := f.contactAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// ForgetContact makes this host wait for news from the store before it relies on having all changes.
+func (f *Follower) ForgetContact() { f.contactAt.Store(nil) }
 
-func (f *Follower) recordContact() { f.contactAt.Store(f.clock.Now().UnixNano()) }
+func (f *Follower) recordContact(asOf time.Time) {
+	if asOf.After(f.LastContact()) {
+		f.contactAt.Store(&asOf)
+	}
+}
 
 // readState is the state of FollowStore between two calls to the store.
 type readState struct {
@@ -129,8 +141,9 @@
 
 // HandleUpdate applies an update from the host that reads the store. A host that has missed
 // an earlier update applies the events without adopting the revision; it reads the store
-// itself once maxUpdateAge is over.
-func (f *Follower) HandleUpdate(u Update) {
+// itself once maxUpdateAge is over. The update has all changes until asOf, zero if that is not
+// known.
+func (f *Follower) HandleUpdate(u Update, asOf time.Time) {
 	if u.Partial {
 		if events := f.catalogue.Apply(u.Events, 0); len(events) > 0 {
 			f.broadcast(Update{Events: events, Partial: true})
@@ -146,7 +159,7 @@
 		return
 	}
 	f.catalogue.Apply(u.Events, u.Revision)
-	f.recordContact()
+	f.recordContact(asOf)
 	select {
 	case f.updated <- struct{}{}:
 	default:
@@ -159,13 +172,14 @@
 	if s.fullRead {
 		read = f.readAll
 	}
+	began := f.clock.Now()
 	err := read(ctx, s.failed || s.restored)
 	if ctx.Err() != nil {
 		return s
 	}
 	f.recordResult(err, s.failed)
 	if err == nil {
-		f.recordContact()
+		f.recordContact(began)
 	}
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
 	restored := err != nil && kind == keyvalue.Restored
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -74,6 +74,7 @@
 	var group errgroup.Group
 	group.SetLimit(maxHealthChecks)
 	for {
+		g.noticeSuspension()
 		g.mu.Lock()
 		now := g.clock.Now()
 		checks, doubts, statements := g.balancer.DueHealthChecks(now), g.balancer.DueDoubts(now), g.balancer.DueStatements()
@@ -204,6 +205,7 @@
 // awaitCatchUp waits while this host, which was paused, reads what others have told it meanwhile.
 func (c *activeCall) awaitCatchUp() {
 	g := c.gateway
+	g.noticeSuspension()
 	for {
 		g.mu.Lock()
 		wait := g.balancer.CatchUpTime(g.clock.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 //	admission.go    limits of targets that the hosts of a region share
 //	replies.go      replies of other hosts that calls wait for
 //	members.go      live hosts, readiness and the directory for callers
+//	standstill.go   times at which the host or its machine stood still
 //	paths.go        paths of hosts to the targets of their region
 //	updates.go      store updates that one host reads for its data centre
 //	peers.go        requests between hosts
@@ -91,6 +92,8 @@
 	network  link.Network
 	signer   *seal.Signer
 	started  time.Time
+	// sinceBoot returns the time since the start of the machine, with that in which it was suspended.
+	sinceBoot func() time.Duration
 	// coordinatorTimeout bounds a call's wait for load replies of coordinators.
 	coordinatorTimeout time.Duration
 
@@ -134,6 +137,9 @@
 	avoidUntil      map[string]time.Time     // by host; no call is forwarded to it before
 	reaches         map[string]knownReach    // by host
 	lastMessages    map[string]messageStamp  // by host
+	sentReports     sentReports
+	// suspendedFor is how long the machine was suspended in all, by the difference of two clocks.
+	suspendedFor time.Duration
 	// regionLastSeen is when the last message of each other region arrived.
 	regionLastSeen map[string]time.Time
 	invalidHeaders map[string]string // last logged one, by target and name
@@ -181,6 +187,9 @@
 // WithNetwork sets the network.
 func WithNetwork(n link.Network) Option { return func(g *Gateway) { g.network = n } }
 
+// WithSinceBoot sets the source of the time since the start of the machine.
+func WithSinceBoot(f func() time.Duration) Option { return func(g *Gateway) { g.sinceBoot = f } }
+
 // WithCoordinatorTimeout bounds a call's wait for load replies of coordinators.
 func WithCoordinatorTimeout(d time.Duration) Option {
 	return func(g *Gateway) { g.coordinatorTimeout = d }
@@ -196,7 +205,7 @@
 		return nil, errors.Wrap(err, "peer address")
 	}
 	g := &Gateway{
-		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, log: logr.Discard(), network: link.NewSystem(host),
+		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, sinceBoot: clock.SinceBoot, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
 		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
@@ -210,6 +219,7 @@
 	for _, option := range options {
 		option(g)
 	}
+	g.suspendedFor = g.sinceBoot()
 	g.started = g.clock.Now()
 	g.targetPool = exchange.NewPool(g.network, exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime))
 	g.peerPool = exchange.NewPool(g.network)
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -100,7 +100,10 @@
 	g.mu.Lock()
 	share := g.balancer.Share(now)
 	g.mu.Unlock()
-	g.sendMessage(peerMessage{Share: &share}, peers)
+	counter := g.sendMessage(peerMessage{Share: &share}, peers)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sentReports.add(counter, now)
 }
 
 // loadInterval returns the interval of load reports in a region with the given number of
@@ -145,13 +148,13 @@
 	g.sendMessage(peerMessage{Services: states}, others)
 }
 
-// sendMessage sends a datagram to hosts.
-func (g *Gateway) sendMessage(m peerMessage, to []member.Info) {
+// sendMessage sends a datagram to hosts, and returns its counter.
+func (g *Gateway) sendMessage(m peerMessage, to []member.Info) uint64 {
 	m.Host, m.Region, m.Incarnation, m.Counter = g.settings.Host, g.settings.Region, g.started.UnixMilli(), g.messageCounter.Add(1)
 	body, err := cbor.Marshal(m)
 	if err != nil {
 		g.log.Error(err, "A message to other hosts could not be encoded.")
-		return
+		return m.Counter
 	}
 	data := g.signer.SignDatagram(body)
 	for _, info := range to {
@@ -162,6 +165,7 @@
 		g.metrics.add("share_bytes_sent_total", int64(len(data)))
 		_, _ = g.messageConn.WriteTo(data, address) // the next report replaces a lost one
 	}
+	return m.Counter
 }
 
 // messageAddress returns the address at which a host receives messages, nil if its peer
@@ -253,12 +257,17 @@
 	if known, ok := g.lastMessages[m.Host]; ok && known.incarnation == m.Incarnation && known.counter >= m.Counter {
 		return
 	}
-	if m.Region != g.settings.Region {
-		g.regionLastSeen[m.Region] = now
+	heardAt := g.balancer.HeardAt(now)
+	if m.Region != g.settings.Region && heardAt.After(g.regionLastSeen[m.Region]) {
+		g.regionLastSeen[m.Region] = heardAt
 	}
 	known, ok := g.lastMessages[m.Host]
 	started := !ok || known.incarnation != m.Incarnation
-	g.lastMessages[m.Host] = messageStamp{incarnation: m.Incarnation, counter: m.Counter, at: now}
+	stamp := messageStamp{incarnation: m.Incarnation, counter: m.Counter, at: heardAt}
+	if !started && known.at.After(heardAt) {
+		stamp.at = known.at
+	}
+	g.lastMessages[m.Host] = stamp
 	if m.Region != g.settings.Region {
 		g.regions.Update(now, m.Region, m.Services)
 		return
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -144,6 +144,7 @@
 // knowsAllVersions reports whether the host would know of a version that serves anywhere. A
 // host that has no news from the store must reach the hosts that may have.
 func (g *Gateway) knowsAllVersions() bool {
+	g.noticeSuspension()
 	if g.clock.Now().Sub(g.follower.LastContact()) < contactTimeout {
 		return true
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -98,7 +99,7 @@
 			continue
 		}
 		group.Go(func() error {
-			if err := g.sendUpdate(ctx, m.PeerAddress, update); err != nil {
+			if err := g.sendUpdate(ctx, m, update); err != nil {
 				g.log.V(1).Info("A store update did not reach a host.", "To", m.Host, "Revision", update.Revision, "Error", err.Error())
 				g.metrics.add("news_lost_total", 1)
 			}
@@ -119,23 +120,82 @@
 	return out
 }
 
-func (g *Gateway) sendUpdate(ctx context.Context, address string, u catalogue.Update) error {
-	body, err := json.Marshal(u)
+// updateMessage is an update as it is sent to one host.
+type updateMessage struct {
+	catalogue.Update
+	// AgeMs is the time since the sender asked the store for the changes, in milliseconds.
+	AgeMs int64 `json:",omitempty"`
+	// Heard is the last load report of the recipient that the sender has received, by which the
+	// recipient knows when the message was sent at the earliest. It is 0 if there is none.
+	Heard            uint64 `json:",omitempty"`
+	HeardIncarnation int64  `json:",omitempty"`
+}
+
+func (g *Gateway) newUpdateMessage(to string, u catalogue.Update) updateMessage {
+	contact := g.follower.LastContact()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := updateMessage{Update: u}
+	if last, ok := g.lastMessages[to]; ok && !contact.IsZero() {
+		m.AgeMs, m.Heard, m.HeardIncarnation = g.clock.Now().Sub(contact).Milliseconds(), last.counter, last.incarnation
+	}
+	return m
+}
+
+// asOf returns the time until which an update surely has all changes, zero if that is not known.
+func (g *Gateway) asOf(m updateMessage) time.Time {
+	if m.Heard == 0 || m.HeardIncarnation != g.started.UnixMilli() || m.AgeMs < 0 {
+		return time.Time{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sentAt, ok := g.sentReports.find(m.Heard)
+	if !ok {
+		return time.Time{}
+	}
+	return sentAt.Add(-time.Duration(m.AgeMs) * time.Millisecond)
+}
+
+// maxSentReports bounds the load reports of which a host remembers when it sent them.
+const maxSentReports = 32
+
+// sentReports are the times of the last load reports to the region, by counter.
+type sentReports struct {
+	counters [maxSentReports]uint64
+	times    [maxSentReports]time.Time
+	next     int
+}
+
+func (s *sentReports) add(counter uint64, at time.Time) {
+	s.counters[s.next], s.times[s.next] = counter, at
+	s.next = (s.next + 1) % maxSentReports
+}
+
+func (s *sentReports) find(counter uint64) (time.Time, bool) {
+	i := slices.Index(s.counters[:], counter)
+	if i < 0 || counter == 0 {
+		return time.Time{}, false
+	}
+	return s.times[i], true
+}
+
+func (g *Gateway) sendUpdate(ctx context.Context, to member.Info, u catalogue.Update) error {
+	body, err := json.Marshal(g.newUpdateMessage(to.Host, u))
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	return g.callPeer(ctx, address, pathPeerUpdate, body, nil)
+	return g.callPeer(ctx, to.PeerAddress, pathPeerUpdate, body, nil)
 }
 
 // serveUpdate handles a store update of another host.
 func (g *Gateway) serveUpdate(ctx *fasthttp.RequestCtx) {
-	var u catalogue.Update
-	if err := json.Unmarshal(ctx.PostBody(), &u); err != nil {
+	var m updateMessage
+	if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	g.follower.HandleUpdate(u)
+	g.follower.HandleUpdate(m.Update, g.asOf(m))
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
