internal/balance, internal/gateway, platform: keep brittle targets from turning calls away

Targets of a service may state Server-Brittle: N. Each that has to turn more than N calls away within a second then falls over. No host read the header; all hosts together sent what they saw fit, and learned of a full target only by its refusals, each for itself.

The class is that of limits and cold targets: a bound for all hosts together that each keeps alone. The same mechanism serves: the host that a target is assigned to admits each call, here by the calls in flight of all hosts and those that it has just admitted, against the target's slots, or fewer once it has turned a call away. Hosts tell one another of statements and refusals. After half of the tolerated number a target gets no calls until it has forgotten them. Calls without room go to another region, or are refused at once as not run, with a Retry-After from the rate at which room becomes free. A statement holds for the targets of the service until a later response lacks it, for 10 s at most.

Ruled out: room counted by each host from what others report, as calls that are sent within a message's delay of one another exceed it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -59,10 +59,11 @@
 	// formerLimits are the limits of targets that are gone, by incarnation. A target may come
 	// back without a restart, for example from an evacuated data centre.
 	formerLimits map[string]limitRecord
-	limitQueues  map[string]time.Time // by service, see QueueForLimit
-	doubts       uint64               // number of the last doubt of this host
-	refutations  []Statement          // see DueStatements
-	polledAt     time.Time            // last call of DueDoubts
+	limitQueues  map[string]time.Time     // by service, see QueueForLimit
+	brittle      map[string]brittleRecord // by service
+	doubts       uint64                   // number of the last doubt of this host
+	refutations  []Statement              // see DueStatements
+	polledAt     time.Time                // last call of DueDoubts
 	// resumedAt is when the process was found to have been paused, and pausedAt its last poll before.
 	resumedAt, pausedAt time.Time
 	// detached is set while the host has no path to any target, and attachedReach is how many it
@@ -89,7 +90,7 @@
 func NewBalancer(region string, seed uint64, options ...Option) *Balancer {
 	b := &Balancer{policy: DefaultPolicy(), region: region, attachedReach: ReachMost, toldReach: ReachMost, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, coldRates: map[string]float64{}, coldStarts: map[string]time.Duration{},
 		readRates: map[string]*rateEstimate{}, fetchRates: map[string]*rateEstimate{}, promptServices: map[string]bool{}, ownFlows: map[string]*serviceFlows{}, peerFlows: map[string]hostFlows{},
-		workPerCall: map[string]float64{}, formerLimits: map[string]limitRecord{}, limitQueues: map[string]time.Time{}}
+		workPerCall: map[string]float64{}, formerLimits: map[string]limitRecord{}, limitQueues: map[string]time.Time{}, brittle: map[string]brittleRecord{}}
 	for _, option := range options {
 		option(b)
 	}
@@ -381,7 +382,7 @@
 	for _, t := range b.services[w.Service] {
 		switch {
 		case b.pathless(now, t) && (!w.Detour || t.restricted(now)):
-		case !b.usable(now, t), t.limitWait(now, w.Priority) > 0, t.limit.Limited && w.NoLimited:
+		case !b.usable(now, t), b.limitWait(now, t, w.Priority) > 0, w.NoLimited && b.needsAdmission(now, t):
 		case w.Version != continuation.Unknown && (t.doubt.number > 0 || t.Version() != w.Version):
 		case slices.Contains(exclude, t.ID):
 			excluded = append(excluded, t)
@@ -441,6 +442,7 @@
 		t.progressAt = now
 	}
 	t.inFlight[f] = struct{}{}
+	t.room.recordSent(b.hosts.Self)
 	t.updateBusyPeriod(now)
 	t.addParts(now, now.Add(t.readTime(now, f.backlog+float64(f.unread))), keysOf(w.Parts))
 	if b.Coordinated() {
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -191,6 +191,9 @@
 	if t == nil {
 		return
 	}
+	if c.Share.Flights > t.peerShares[host].Flights {
+		t.room.recordSent(host)
+	}
 	if c.Share.backlog(priorityClasses) < t.peerShares[host].backlog(priorityClasses) {
 		t.progressAt = now
 	}
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -240,7 +240,7 @@
 }
 
 // LimitWait returns how long it takes until this host may send another call of a service to a
-// target with a limit, after the callers that it has already told to come back then. It
+// target with a limit or a brittle one, after the callers that it has already told to come back then. It
 // returns false if no target with a limit is in service.
 func (b *Balancer) LimitWait(now time.Time, service string) (time.Duration, bool) {
 	interval, ok := b.limitInterval(now, service)
@@ -266,8 +266,12 @@
 func (b *Balancer) limitInterval(now time.Time, service string) (time.Duration, bool) {
 	rate := 0.0
 	for _, t := range b.services[service] {
-		if t.limit.Limited && b.available(now, t) {
+		switch _, brittle := b.brittleness(now, t); {
+		case !b.available(now, t):
+		case t.limit.Limited:
 			rate += t.limit.rate()
+		case brittle:
+			rate += float64(t.room.size(now, t.Slots)) / t.duration.Seconds()
 		}
 	}
 	if rate == 0 {
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -258,7 +258,7 @@
 	}
 	answered, askedAt := false, r.now
 	r.deliver(h, admission.Owner, func(owner *limitHost) {
-		decision := owner.balancer.AdmitFor(r.now, id, w.Priority)
+		decision := owner.balancer.AdmitFor(r.now, h.name, id, w.Priority)
 		r.deliver(owner, h.name, func(h *limitHost) {
 			if answered {
 				return
--- a/internal/balance/quota.go
+++ b/internal/balance/quota.go
@@ -180,15 +180,28 @@
 			return a
 		}
 	}
-	if !t.limit.Limited {
+	if !b.needsAdmission(now, t) {
 		return Admission{Granted: true}
 	}
+	if !t.limit.Limited {
+		if t.assigned.host != b.hosts.Self {
+			return Admission{Owner: t.assigned.host}
+		}
+		return b.admitBrittle(now, t, b.hosts.Self, priority)
+	}
 	if owner := t.assigned.host; owner != b.hosts.Self && b.isAcked(now, t) {
 		return Admission{Owner: owner}
 	}
 	return b.admitHere(now, t, priority)
 }
 
+// needsAdmission reports whether a host may send calls to the target only if they are admitted, one by
+// one.
+func (b *Balancer) needsAdmission(now time.Time, t *target) bool {
+	_, brittle := b.brittleness(now, t)
+	return t.limit.Limited || brittle
+}
+
 // isAcked reports whether the host that a target is assigned to has lately acknowledged to be
 // responsible for it.
 func (b *Balancer) isAcked(now time.Time, t *target) bool {
@@ -214,12 +227,16 @@
 
 // AdmitFor decides for another host whether it may send a call to a target that is assigned to
 // this one.
-func (b *Balancer) AdmitFor(now time.Time, id string, priority int) Admission {
+func (b *Balancer) AdmitFor(now time.Time, host, id string, priority int) Admission {
 	t := b.targets[id]
-	if t == nil || t.assigned.host != b.hosts.Self || !t.limit.Limited {
+	switch {
+	case t == nil || t.assigned.host != b.hosts.Self:
 		return Admission{Wait: unansweredQuotaWait} // the hosts differ in what they know
+	case t.limit.Limited:
+		return b.admitHere(now, t, priority)
+	default:
+		return b.admitBrittle(now, t, host, priority)
 	}
-	return b.admitHere(now, t, priority)
 }
 
 // AcceptReply returns the decision of the assigned host that this host asked at askedAt. A
@@ -244,8 +261,8 @@
 }
 
 // limitWait returns how long the target has no room for a call, as far as this host knows.
-func (t *target) limitWait(now time.Time, priority int) time.Duration {
-	if !t.limit.Limited {
+func (b *Balancer) limitWait(now time.Time, t *target, priority int) time.Duration {
+	if !b.needsAdmission(now, t) {
 		return 0
 	}
 	return max(0, t.quota.closedUntil[priorityClass(priority)].Sub(now))
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -149,7 +149,7 @@
 		waits := make([]time.Duration, 0, len(list))
 		for _, t := range list {
 			wait := t.candidate(now, Work{Priority: priority, Tokens: 1}).predict(now, Work{Priority: priority, Tokens: 1}).Wait
-			waits = append(waits, max(wait, t.limitWait(now, priority)))
+			waits = append(waits, max(wait, b.limitWait(now, t, priority)))
 		}
 		slices.Sort(waits)
 		s.WaitMs[priority] = int(waits[(len(waits)-1)/3].Milliseconds())
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -40,6 +40,7 @@
 	peerBackoffUntil time.Time
 	limit            limitRecord
 	quota            quota
+	room             room
 	listing          listing
 	hash             uint64 // of the ID
 	assigned         assignment
@@ -113,7 +114,7 @@
 	t.listing = listing{done: true} // the host sees all that a new process caches from its start
 	t.load, t.loadAt = Load{}, time.Time{}
 	t.backoffUntil, t.peerBackoffUntil = time.Time{}, time.Time{}
-	t.limit = limitRecord{}
+	t.limit, t.room = limitRecord{}, room{}
 	if !t.doubt.outlivesEntry(now) {
 		t.doubt, t.statedColdUntil = doubt{}, time.Time{}
 	}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -40,7 +40,7 @@
 func (c *activeCall) admit(t catalogue.Target) bool {
 	g := c.gateway
 	g.mu.Lock()
-	limited := g.balancer.Limited(t.ID)
+	limited := g.balancer.Limited(t.ID) || g.balancer.Brittle(g.clock.Now(), t.ID)
 	admission := g.balancer.Admit(g.clock.Now(), t.ID, c.work.Priority)
 	g.mu.Unlock()
 	if !limited {
@@ -96,7 +96,7 @@
 // answerAdmissionQuery answers the query of another host.
 func (g *Gateway) answerAdmissionQuery(host string, q admissionQuery) {
 	g.mu.Lock()
-	admission := g.balancer.AdmitFor(g.clock.Now(), q.Target, q.Priority)
+	admission := g.balancer.AdmitFor(g.clock.Now(), host, q.Target, q.Priority)
 	g.mu.Unlock()
 	g.sendMessage(peerMessage{AdmissionReply: &admissionReply{ID: q.ID, Granted: admission.Granted, WaitMs: admission.Wait.Milliseconds()}}, g.membersByName([]string{host}))
 }
@@ -141,6 +141,46 @@
 	}
 }
 
+// recordBrittle records what a response to a request that was sent at sentAt says about whether the
+// target is brittle, and tells the other hosts of the region of a change.
+func (g *Gateway) recordBrittle(t catalogue.Target, sentAt time.Time, s balance.BrittleStatement) {
+	g.mu.Lock()
+	report, changed := g.balancer.RecordBrittle(g.clock.Now(), sentAt, t.ID, s)
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	g.log.Info("A target states whether it is brittle.", "Target", t.Incarnation, "Brittle", s.Brittle, "Tolerated", s.Tolerated, "AgeMs", report.AgeMs)
+	g.sendMessage(peerMessage{Brittle: []balance.BrittleReport{report}}, g.regionPeers())
+}
+
+// recordRefusal records that a target has turned a call away, and tells the other hosts of the region
+// if it is brittle.
+func (g *Gateway) recordRefusal(t catalogue.Target) {
+	g.mu.Lock()
+	report, brittle := g.balancer.RecordRefusal(g.clock.Now(), t.ID)
+	g.mu.Unlock()
+	if !brittle {
+		return
+	}
+	g.metrics.add("brittle_refusals_total", 1)
+	g.log.Info("A brittle target turned a call away.", "Target", t.Incarnation, "Tolerated", report.Tolerated)
+	g.sendMessage(peerMessage{Brittle: []balance.BrittleReport{report}}, g.regionPeers())
+}
+
+// applyBrittle records the reports of another host.
+func (g *Gateway) applyBrittle(host string, reports []balance.BrittleReport) {
+	g.mu.Lock()
+	now := g.clock.Now()
+	for _, r := range reports {
+		g.balancer.ApplyBrittle(now, r)
+	}
+	g.mu.Unlock()
+	for _, r := range reports {
+		g.log.Info("Another host reports a brittle target.", "Target", r.Target, "From", host, "Brittle", r.Brittle, "Tolerated", r.Tolerated, "Refused", r.Refused, "AgeMs", r.AgeMs)
+	}
+}
+
 // handleLimitReport records the report of another host, whatever the order in which its messages
 // arrive: reports state when they were made.
 func (g *Gateway) handleLimitReport(host string, l balance.LimitReport) {
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -61,6 +61,9 @@
 	if headers.Limit != nil {
 		g.recordLimit(t, sentAt, *headers.Limit)
 	}
+	if headers.Brittle != nil {
+		g.recordBrittle(t, sentAt, *headers.Brittle)
+	}
 	if headers.ColdRemaining > 0 {
 		g.recordCold(id, headers.ColdRemaining)
 	}
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -62,6 +62,8 @@
 	Streams     []streamRecord `cbor:"18,keyasint,omitempty"`
 	StreamQuery *streamQuery   `cbor:"19,keyasint,omitempty"`
 	StreamReply *streamReply   `cbor:"20,keyasint,omitempty"`
+	// Brittle is about targets that fall over when they turn away too many calls.
+	Brittle []balance.BrittleReport `cbor:"21,keyasint,omitempty"`
 }
 
 // sendLoadReports sends load reports to other hosts until ctx is done.
@@ -238,6 +240,8 @@
 		g.applyDoubts(m.Host, m.Doubts)
 	case len(m.Statements) > 0:
 		g.applyStatements(m.Host, m.Statements)
+	case len(m.Brittle) > 0:
+		g.applyBrittle(m.Host, m.Brittle)
 	case len(m.Streams) > 0:
 		g.applyStreams(m.Streams)
 	case m.StreamQuery != nil:
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -64,6 +64,8 @@
 	// Limit is what the target says about its limit on calls, nil if the response says
 	// nothing valid.
 	Limit *balance.LimitStatement
+	// Brittle is what the target says about being brittle, nil if the header is invalid.
+	Brittle *balance.BrittleStatement
 	// InvalidHeaders are the headers with an invalid value, as "name: value".
 	InvalidHeaders []string
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -402,6 +402,9 @@
 	} else {
 		a.end(balance.Refused)
 	}
+	if status != fasthttp.StatusMisdirectedRequest {
+		a.call.gateway.recordRefusal(a.choice.Target)
+	}
 	return result{outcome: core.NotRun, reason: "a target refuses the call"}
 }
 
