--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -56,6 +56,12 @@
 	storeAway time.Duration
 	// reset is the number of targets at which one connection of one host is reset.
 	reset int
+	// pathless is the number of hosts that lose the path to a share of the targets for pathlessFor.
+	// Their connections are refused and reset, or silent.
+	pathless      int
+	pathlessShare float64
+	pathlessFor   time.Duration
+	silentPaths   bool
 }
 
 type crashingTarget struct {
@@ -90,9 +96,10 @@
 	frozenUntil time.Time
 	deferred    []func() // run when the host wakes
 	unreachable string   // target to which the host has no path
+	cut         pathCut
 	probing     bool
 	reach       balance.Reach            // as last told to others
-	reaches     map[string]balance.Reach // as told by others
+	told        map[string]balance.Reach // by others
 	known       map[string]int
 }
 
@@ -104,6 +111,7 @@
 	targets   []*crashingTarget
 	storeBack time.Time
 	served    int
+	calls     []*simulatedCall
 	checks    int // health checks that reached targets
 }
 
@@ -138,7 +146,7 @@
 			}
 		})
 	}
-	h.startedAt, h.known, h.deferred, h.probing, h.reach, h.reaches = startedAt, known, nil, false, balance.ReachMost, map[string]balance.Reach{}
+	h.startedAt, h.known, h.deferred, h.probing, h.reach, h.told = startedAt, known, nil, false, balance.ReachMost, map[string]balance.Reach{}
 	h.balancer = balance.NewBalancer("north", r.random.Uint64())
 	r.configure(h)
 	for _, other := range r.hosts {
@@ -218,7 +226,7 @@
 		reached := other.part == h.part && (other == h || !r.now.Before(other.frozenUntil))
 		if reached {
 			view.Live = append(view.Live, other.name)
-			reach, told := h.reaches[other.name]
+			reach, told := h.told[other.name]
 			if other == h {
 				reach, told = h.balancer.Reach(), true
 			}
@@ -291,9 +299,9 @@
 	for _, check := range h.balancer.DueHealthChecks(r.now) {
 		t := r.targetOf(check.Target.ID)
 		r.after(time.Duration(r.random.Int64N(int64(3*time.Millisecond))), func() {
-			if !t.up || h.unreachable == t.id {
+			if !t.up || !h.reaches(t.id) {
 				wait := time.Duration(0)
-				if t.dark || h.unreachable == t.id {
+				if t.dark || h.hasSilentPath(t.id) {
 					wait = healthTimeout
 				}
 				r.after(wait, func() { r.atHost(h, func() { r.recordNoHealth(h, check) }) })
@@ -321,11 +329,11 @@
 	for i, probed := range due {
 		t := r.targetOf(probed.ID)
 		took := time.Duration(r.random.Int64N(int64(3 * time.Millisecond)))
-		if (!t.up && t.dark) || h.unreachable == t.id {
+		if (!t.up && t.dark) || h.hasSilentPath(t.id) {
 			took = probeTimeout
 		}
 		longest = max(longest, took)
-		r.after(took/2, func() { opened[i] = t.up && h.unreachable != t.id })
+		r.after(took/2, func() { opened[i] = t.up && h.reaches(t.id) })
 	}
 	r.after(longest, func() {
 		r.atHost(h, func() {
@@ -349,8 +357,8 @@
 	reach := h.reach
 	for _, other := range r.hosts {
 		r.deliver(h, other, func() {
-			if known, ok := other.reaches[h.name]; !ok || known != reach {
-				other.reaches[h.name] = reach
+			if known, ok := other.told[h.name]; !ok || known != reach {
+				other.told[h.name] = reach
 				r.updateView(other)
 			}
 		})
@@ -400,21 +408,29 @@
 }
 
 // call sends one call of a host. A call may be held between its choice and its admission.
-func (r *coldRegion) call(h *coldHost, attempts int) {
+func (r *coldRegion) call(h *coldHost, c *simulatedCall, attempts int) {
 	if wait := h.balancer.CatchUpTime(r.now); wait > 0 {
-		r.after(wait, func() { r.atHost(h, func() { r.call(h, attempts) }) })
+		r.after(wait, func() { r.atHost(h, func() { r.call(h, c, attempts) }) })
 		return
 	}
-	choice, ok := h.balancer.Choose(r.now, promptWork(500), nil)
+	w := promptWork(500)
+	neighbour := r.neighbour(h, c)
+	w.Detour = neighbour != nil
+	choice, ok := h.balancer.Choose(r.now, w, nil)
 	if !ok {
 		return
 	}
+	if choice.NoPath {
+		c.passed = true
+		r.after(messageDelay, func() { r.atHost(neighbour, func() { r.call(neighbour, c, attempts) }) })
+		return
+	}
 	r.after(time.Duration(r.random.Int64N(int64(15*time.Millisecond))), func() {
-		r.atHost(h, func() { r.send(h, choice, attempts) })
+		r.atHost(h, func() { r.send(h, choice, c, attempts) })
 	})
 }
 
-func (r *coldRegion) send(h *coldHost, choice balance.Choice, attempts int) {
+func (r *coldRegion) send(h *coldHost, choice balance.Choice, c *simulatedCall, attempts int) {
 	id := choice.Target.ID
 	cold := h.balancer.Restricted(r.now, id)
 	if !h.balancer.Admit(r.now, id, 1).Granted {
@@ -425,31 +441,31 @@
 		h.balancer.End(r.now, flight, balance.Unreached)
 		r.doubt(h, t, choice.Target.Incarnation, ended)
 		if attempts > 1 {
-			r.call(h, attempts-1)
+			r.call(h, c, attempts-1)
 		}
 	}
 	opened := time.Duration(r.random.Int64N(int64(3 * time.Millisecond)))
-	if (!t.up && t.dark) || h.unreachable == id {
+	if (!t.up && t.dark) || h.hasSilentPath(id) {
 		opened = balance.MaxOpenTime
 	}
 	r.after(opened, func() {
 		r.atHost(h, func() {
 			switch {
-			case opened >= balance.MaxOpenTime, !t.up:
-				fail(!t.up && !t.dark)
+			case opened >= balance.MaxOpenTime, !t.up, !h.reaches(id):
+				fail(opened < balance.MaxOpenTime)
 			case !cold && h.balancer.Restricted(r.now, id), h.balancer.CatchUpTime(r.now) > 0:
 				h.balancer.End(r.now, flight, balance.Abandoned)
 			default:
-				r.arrive(h, t, flight, choice.Target.Incarnation)
+				r.arrive(h, t, flight, choice.Target.Incarnation, c)
 			}
 		})
 	})
 }
 
-func (r *coldRegion) arrive(h *coldHost, t *crashingTarget, flight *balance.Flight, incarnation string) {
+func (r *coldRegion) arrive(h *coldHost, t *crashingTarget, flight *balance.Flight, incarnation string, c *simulatedCall) {
 	t.recordArrival(r.now)
 	ended, process := false, t.process
-	t.broken = append(t.broken, func() {
+	breakOff := func() {
 		if !ended {
 			ended = true
 			r.atHost(h, func() {
@@ -457,11 +473,17 @@
 				r.doubt(h, t, incarnation, false)
 			})
 		}
+	}
+	t.broken = append(t.broken, breakOff)
+	h.cut.broken = append(h.cut.broken, func() {
+		if !h.reaches(t.id) {
+			breakOff()
+		}
 	})
 	took := 50*time.Millisecond + time.Duration(r.random.Int64N(int64(700*time.Millisecond)))
 	progress := func(record func()) func() {
 		return func() {
-			if !ended && t.process == process && t.up {
+			if !ended && t.process == process && t.up && h.reaches(t.id) {
 				r.atHost(h, record)
 			}
 		}
@@ -469,9 +491,10 @@
 	r.after(took/3, progress(func() { h.balancer.FirstByte(r.now, flight) }))
 	r.after(2*took/3, progress(func() { h.balancer.Event(r.now, flight, took/3) }))
 	r.after(took, func() {
-		if !ended && t.process == process && t.up {
+		if !ended && t.process == process && t.up && h.reaches(t.id) {
 			ended = true
 			r.served++
+			c.served = true
 			r.atHost(h, func() {
 				h.balancer.End(r.now, flight, balance.Answered)
 			})
@@ -480,6 +503,7 @@
 }
 
 func (r *coldRegion) apply(s coldStep) {
+	r.cutPaths(s)
 	for _, i := range r.random.Perm(len(r.targets))[:s.crash] {
 		r.crash(r.targets[i], s)
 	}
@@ -632,7 +656,11 @@
 	}
 	for _, h := range r.hosts {
 		for at := r.random.ExpFloat64() / callsPerHost; at < span.Seconds(); at += r.random.ExpFloat64() / callsPerHost {
-			r.schedule(start.Add(seconds(at)), func() { r.atHost(h, func() { r.call(h, 2) }) })
+			r.schedule(start.Add(seconds(at)), func() {
+				c := &simulatedCall{at: r.now, pathless: h.cut.complete(r.now)}
+				r.calls = append(r.calls, c)
+				r.atHost(h, func() { r.call(h, c, 2) })
+			})
 		}
 	}
 	r.runUntil(start.Add(span))
