internal/gateway: look for hosts with paths only while some are known to lack them

Each decision walked the list of members to find out whether another host of the region and hosts of other regions reach their targets. At hundreds of hosts that is work for every call, for a state that is rare. Hosts now remember only reports of hosts that do not reach most targets, and decisions look no further while there are none. Due probes are looked for every 100 ms, as a failed connection wakes the prober at once.

--- a/internal/balance/path.go
+++ b/internal/balance/path.go
@@ -252,6 +252,19 @@
 // failed connection says nothing about its target.
 func (b *Balancer) RespondedSince(at time.Time) bool { return b.respondedAt.After(at) }
 
+// LacksPaths reports whether the host has no path to some target.
+func (b *Balancer) LacksPaths() bool {
+	if b.detached {
+		return true
+	}
+	for t := range b.eachTarget() {
+		if t.path.down {
+			return true
+		}
+	}
+	return false
+}
+
 // Detached reports whether the host has no path to any target.
 func (b *Balancer) Detached() bool { return b.detached }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 	runningStreams  map[*activeCall]streamRecord
 	typicalTimes    map[string]time.Duration // processing time by route
 	avoidUntil      map[string]time.Time     // by host; no call is forwarded to it before
-	reaches         map[string]knownReach    // by host
+	reaches         map[string]knownReach    // by host; of those that do not reach most targets
 	lastMessages    map[string]messageStamp  // by host
 	sentReports     sentReports
 	// suspendedFor is how long the machine was suspended in all, by the difference of two clocks.
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -18,7 +18,7 @@
 const (
 	// pathPollInterval is the interval at which a host looks for due probes. After a failed
 	// connection it looks at once.
-	pathPollInterval = 50 * time.Millisecond
+	pathPollInterval = 100 * time.Millisecond
 	// probeTimeout is many round trips within a region.
 	probeTimeout        = 200 * time.Millisecond
 	maxConcurrentPaths  = 32
@@ -153,10 +153,14 @@
 		return
 	}
 	g.mu.Lock()
-	known := g.reaches[r.Host]
-	g.reaches[r.Host] = knownReach{reachReport: r, at: g.clock.Now()}
+	known, wasLimited := g.reaches[r.Host]
+	if r.Reach == balance.ReachMost {
+		delete(g.reaches, r.Host)
+	} else {
+		g.reaches[r.Host] = knownReach{reachReport: r, at: g.clock.Now()}
+	}
 	g.mu.Unlock()
-	if known.Reach != r.Reach || known.Incarnation != r.Incarnation {
+	if known.reachReport != r && (wasLimited || r.Reach != balance.ReachMost) {
 		g.log.Info("Another host's paths to targets have changed.", "From", r.Host, "Reach", r.Reach.String())
 	}
 	g.updateHosts()
@@ -209,6 +213,13 @@
 	return g.balancer.Detached()
 }
 
+// lacksPaths reports whether the host has no path to some target.
+func (g *Gateway) lacksPaths() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.LacksPaths()
+}
+
 // suspectPath takes a connection that broke off as a sign that there may be no path to the target.
 func (g *Gateway) suspectPath(t catalogue.Target) {
 	g.mu.Lock()
@@ -231,6 +242,9 @@
 // regionServes reports whether a host of a region that may get calls has a path to targets. The caller
 // holds g.mu.
 func (g *Gateway) regionServes(region string) bool {
+	if len(g.reaches) == 0 && !g.balancer.Detached() {
+		return true
+	}
 	return slices.ContainsFunc(g.gossip.View().Members, func(m member.Info) bool {
 		return m.Region == region && m.InUse() && g.reachOf(m) != balance.ReachNone
 	})
@@ -238,7 +252,7 @@
 
 // neighbour returns a host of the own region to which the call may be passed.
 func (c *activeCall) neighbour() (member.Info, bool) {
-	if c.fromPeer || len(c.triedNeighbours) >= maxNeighboursPerCall || !c.route.MayServe(c.gateway.settings.Region) {
+	if c.fromPeer || !c.gateway.lacksPaths() || len(c.triedNeighbours) >= maxNeighboursPerCall || !c.route.MayServe(c.gateway.settings.Region) {
 		return member.Info{}, false
 	}
 	return c.gateway.pickHost(func(m member.Info) bool {
