internal/balance: ask others about targets before calls to them are passed on

When all targets crash, every host is detached in the end: none told the others, or hosts that had just started, of its doubts, and calls were passed to the last host that did not know yet, which sent them all to the first target that was back.

A detached host now still asks the hosts that are responsible for the targets whether these run, and for all of them; a call is passed on only to reach a target of which no doubt is left. A probe that fails first is a doubt, as a call that fails is. Load reports name targets without a path, so that hosts that have just started have their processes confirmed. In its first time a host sends a target one call until it responds, as after a pause.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -125,6 +125,9 @@
 		switch {
 		case known == nil:
 			known = newTarget(t, b.readRate(t.Service), b.fetchRate(t.Service))
+			if !b.hosts.Settled {
+				known.probation = probation{until: now.Add(probationTime)} // what the host has been told may be old
+			}
 			b.targets[id] = known
 			b.assign(known)
 			b.restoreLimit(known)
@@ -166,6 +169,11 @@
 // connections, so their shares are dropped.
 func (b *Balancer) SetHosts(now time.Time, h Hosts) {
 	previous, previousHolders := b.hosts.Live, b.hosts.holders()
+	if h.Settled && !b.hosts.Settled {
+		for _, t := range b.targets {
+			t.probation = probation{}
+		}
+	}
 	b.hosts = h
 	b.reassignAll(now, previousHolders)
 	if !b.Coordinated() || slices.Equal(previous, h.Live) {
@@ -381,7 +389,7 @@
 	var preferred, avoided, excluded []*target
 	for _, t := range b.services[w.Service] {
 		switch {
-		case b.pathless(now, t) && (!w.Detour || t.restricted(now)):
+		case b.pathless(now, t) && (!w.Detour || t.doubt.number > 0 || t.cold(now)):
 		case !b.usable(now, t), b.limitWait(now, t, w.Priority) > 0, w.NoLimited && b.needsAdmission(now, t):
 		case w.Version != continuation.Unknown && (t.doubt.number > 0 || t.Version() != w.Version):
 		case slices.Contains(exclude, t.ID):
--- a/internal/balance/doubt.go
+++ b/internal/balance/doubt.go
@@ -298,15 +298,12 @@
 func (b *Balancer) DueDoubts(now time.Time) map[string][]Doubt {
 	b.recordPoll(now)
 	out := map[string][]Doubt{}
-	if b.detached {
-		return out
-	}
 	for t := range b.eachTarget() {
 		if t.doubt.number == 0 || t.cold(now) {
 			continue
 		}
 		if t.assigned.host == b.hosts.Self {
-			if t.announceDoubt(now) {
+			if !b.detached && t.announceDoubt(now) {
 				out[""] = append(out[""], t.doubtReport())
 			}
 			continue
@@ -315,7 +312,7 @@
 		if t.doubt.announced {
 			interval = announcedAskInterval
 		}
-		if !t.doubt.announced && !t.doubt.unanswered && now.Sub(t.doubt.since) >= answerTime {
+		if !b.detached && !t.doubt.announced && !t.doubt.unanswered && now.Sub(t.doubt.since) >= answerTime {
 			t.doubt.unanswered = true
 			report := t.doubtReport()
 			report.Unanswered = true
@@ -495,9 +492,6 @@
 
 // sharedDoubts returns the announced doubts, so that hosts that have just started learn of them.
 func (b *Balancer) sharedDoubts() []Doubt {
-	if b.detached {
-		return nil
-	}
 	var out []Doubt
 	for t := range b.eachTarget() {
 		if t.doubt.number > 0 && t.doubt.announced && len(out) < maxSharedDoubts {
--- a/internal/balance/path.go
+++ b/internal/balance/path.go
@@ -187,7 +187,11 @@
 	t.path.probing, t.path.suspected = false, false
 	if !opened {
 		b.recordNoPath(now, t)
-		return Doubt{}, "", false
+		if t.path.failures > 1 || t.doubt.number > 0 || !b.canDoubt(t) {
+			return Doubt{}, "", false
+		}
+		b.startDoubt(now, t, false)
+		return t.doubtReport(), b.checker(t), true
 	}
 	b.respondedAt, b.detached = now, false
 	t.path.failures = 0
@@ -238,16 +242,48 @@
 }
 
 // onDetachment makes all paths uncertain when the host becomes detached, as the processes of the
-// targets may be others when the paths are back, and has them probed when it is attached again.
+// targets may be others when the paths are back, and has them probed when it is attached again. It
+// asks the hosts that are responsible for the targets whether these run: calls are passed to other
+// hosts only for targets that do, as otherwise all would meet at the last host that does not know
+// of a crash.
 func (b *Balancer) onDetachment(now time.Time) {
 	for t := range b.eachTarget() {
 		if b.detached && !t.path.down {
 			t.path.down = true
 		}
+		if b.detached && t.doubt.number == 0 && !t.cold(now) && b.canDoubt(t) {
+			b.startDoubt(now, t, false)
+			t.doubt.refreshedAt = time.Time{} // ask at once
+		}
 		t.path.probeAt = now
 	}
 }
 
+// unreached returns targets that the host has no path to.
+func (b *Balancer) unreached(now time.Time) []string {
+	var out []string
+	for t := range b.eachTarget() {
+		if len(out) < maxSharedDoubts && b.canDoubt(t) && b.pathless(now, t) {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
+// confirmUnreached doubts the processes of targets that another host has no path to, if this host has
+// just started and knows of no crash.
+func (b *Balancer) confirmUnreached(now time.Time, targets []string) {
+	if b.hosts.Settled {
+		return
+	}
+	for _, id := range targets {
+		t := b.targets[id]
+		if t != nil && b.canDoubt(t) && t.doubt.number == 0 && !t.cold(now) && now.Sub(t.path.confirmedAt) >= confirmationTime {
+			b.startDoubt(now, t, true)
+		}
+	}
+}
+
 // RespondedSince reports whether any other target has responded after a time. Without that, a
 // failed connection says nothing about its target.
 func (b *Balancer) RespondedSince(at time.Time) bool { return b.respondedAt.After(at) }
--- a/internal/balance/path_test.go
+++ b/internal/balance/path_test.go
@@ -48,6 +48,9 @@
 
 // cutPaths applies the part of a step that is about paths.
 func (r *coldRegion) cutPaths(s coldStep) {
+	if s.pathless == 0 {
+		return // without a draw, so that series without cuts stay as they are
+	}
 	for _, i := range r.random.Perm(len(r.hosts))[:s.pathless] {
 		h := r.hosts[i]
 		if len(h.cut.targets) > 0 {
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -96,12 +96,15 @@
 	// processes have said, as far as the host knows.
 	Doubts     []Doubt     `cbor:"6,keyasint,omitempty"`
 	Statements []Statement `cbor:"7,keyasint,omitempty"`
+	// Unreached are targets that the host has no path to. They may have crashed, so hosts that have
+	// just started have their processes confirmed first.
+	Unreached []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Share returns the state that the host reports periodically to the others of its region,
 // in addition to its changes.
 func (b *Balancer) Share(now time.Time) Share {
-	s := Share{Flows: map[string]Flows{}, ReadRates: b.trustedReadRates(), Limits: b.ownedLimitReports(now), Doubts: b.sharedDoubts(), Statements: b.sharedStatements(now)}
+	s := Share{Flows: map[string]Flows{}, ReadRates: b.trustedReadRates(), Limits: b.ownedLimitReports(now), Doubts: b.sharedDoubts(), Statements: b.sharedStatements(now), Unreached: b.unreached(now)}
 	for service, flows := range b.ownFlows {
 		s.Flows[service] = flows.rates(now).rounded()
 	}
@@ -148,6 +151,7 @@
 	for _, statement := range s.Statements {
 		b.ApplyStatement(now, statement)
 	}
+	b.confirmUnreached(now, s.Unreached)
 	b.mergeTargets(now, host, s)
 	for service, rate := range s.ReadRates {
 		if estimate := b.readRate(service); estimate.samples < minTrustedSamples {
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,10 +25,12 @@
 	healthTimeout     = 150 * time.Millisecond
 	maxHealthChecks   = 16
 	maxHealthBytes    = 64 << 10
-	signRefused       = "it accepts no connection"
-	signBrokenOff     = "a connection broke off"
-	signExamined      = "it broke off calls and accepts no connection"
-	signSlowOpen      = "a connection took long to open"
+	// maxDoubtsPerMessage keeps a message below the size of a packet.
+	maxDoubtsPerMessage = 32
+	signRefused         = "it accepts no connection"
+	signBrokenOff       = "a connection broke off"
+	signExamined        = "it broke off calls and accepts no connection"
+	signSlowOpen        = "a connection took long to open"
 )
 
 // doubtProcess records a sign that the process of a target has ended, and tells the host that
@@ -85,7 +88,9 @@
 			g.sendMessage(peerMessage{Statements: statements}, g.regionPeers())
 		}
 		for host, list := range doubts {
-			g.sendMessage(peerMessage{Doubts: list}, g.recipients(host))
+			for batch := range slices.Chunk(list, maxDoubtsPerMessage) {
+				g.sendMessage(peerMessage{Doubts: batch}, g.recipients(host))
+			}
 		}
 		for _, check := range checks {
 			group.TryGo(func() error { // if too many are running, the check is due again soon
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -62,6 +62,7 @@
 			g.metrics.add("reach_changes_total", 1)
 			g.log.Info("The host's paths to targets have changed.", "Reach", reach.String(), "Probed", len(due))
 			g.updateHosts()
+			g.wakeHealthChecks()
 		}
 		if changed || reach != balance.ReachMost && now.Sub(postedAt) > reachRepeatInterval {
 			postedAt = now
@@ -104,12 +105,14 @@
 	g.metrics.add(`path_probes_total{result="opened"}`, int64(count(opened)))
 	g.metrics.add(`path_probes_total{result="failed"}`, int64(len(opened)-count(opened)))
 	for checker, list := range doubts {
-		g.log.Info("Paths to targets are back; their processes are in doubt.", "Targets", len(list), "First", list[0].Target, "Checker", checker)
+		g.log.Info("Paths to targets failed or are back; their processes are in doubt.", "Targets", len(list), "First", list[0].Target, "Checker", checker)
 		if checker == "" {
 			g.wakeHealthChecks()
 			continue
 		}
-		g.sendMessage(peerMessage{Doubts: list}, g.membersByName([]string{checker}))
+		for batch := range slices.Chunk(list, maxDoubtsPerMessage) {
+			g.sendMessage(peerMessage{Doubts: batch}, g.membersByName([]string{checker}))
+		}
 	}
 }
 
