--- a/internal/balance/doubt.go
+++ b/internal/balance/doubt.go
@@ -354,7 +354,7 @@
 // DueHealthChecks returns the checks of targets whose process is in doubt: of those that are
 // assigned to this host, and of others whose doubt lasts for long.
 func (b *Balancer) DueHealthChecks(now time.Time) []HealthCheck {
-	if b.detached {
+	if b.detached || b.CatchUpTime(now) > 0 { // another host may have told of a check meanwhile
 		return nil
 	}
 	var out []HealthCheck
