--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -125,9 +125,6 @@
 		switch {
 		case known == nil:
 			known = newTarget(t, b.readRate(t.Service), b.fetchRate(t.Service))
-			if !b.hosts.Settled {
-				known.probation = probation{until: now.Add(probationTime)} // what the host has been told may be old
-			}
 			b.targets[id] = known
 			b.assign(known)
 			b.restoreLimit(known)
@@ -169,11 +166,6 @@
 // connections, so their shares are dropped.
 func (b *Balancer) SetHosts(now time.Time, h Hosts) {
 	previous, previousHolders := b.hosts.Live, b.hosts.holders()
-	if h.Settled && !b.hosts.Settled {
-		for _, t := range b.targets {
-			t.probation = probation{}
-		}
-	}
 	b.hosts = h
 	b.reassignAll(now, previousHolders)
 	if !b.Coordinated() || slices.Equal(previous, h.Live) {
