--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -223,7 +223,7 @@
 		return
 	}
 	g.logPartCrash(crash, true)
-	g.postPartItem(partCrashKeyPrefix+crash.ID, partTTLSeconds, crash)
+	g.postProcessItem(partCrashKeyPrefix+crash.ID, partTTLSeconds, crash)
 }
 
 // bounded returns at most maxReportedParts of the parts, chosen at random.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,6 @@
 	updates          *ring.Queue[catalogue.Update]
 	doubtsRaised     chan struct{} // wakes checkHealth
 	pathsSuspected   chan struct{} // wakes probePaths
-	reachReports     int64         // reports posted; only probePaths uses it
 	messageConn      net.PacketConn
 	gossipConn       net.PacketConn
 	servers          []namedServer
@@ -153,7 +152,7 @@
 	leaving          atomic.Bool
 	drain            atomic.Pointer[drainPeriod] // nil before Drain
 	messageCounter   atomic.Uint64               // of datagrams sent
-	partItems        atomic.Int64                // items posted about parts of prompts
+	partItems        atomic.Int64                // items posted under keys of this process
 	regionTurn       int                         // of reports to other regions; only sendLoadReports uses it
 	inFlight         atomic.Int64
 	stop             context.CancelFunc
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -208,16 +208,16 @@
 }
 
 func (g *Gateway) postTrial(t quarantine.Trial) {
-	g.postPartItem(partTrialKeyPrefix+t.Part, partTrialTTLSeconds, t)
+	g.postProcessItem(partTrialKeyPrefix+t.Part, partTrialTTLSeconds, t)
 }
 
 func (g *Gateway) postClearance(c quarantine.Clearance) {
-	g.postPartItem(partClearanceKeyPrefix+c.Part, partTTLSeconds, c)
+	g.postProcessItem(partClearanceKeyPrefix+c.Part, partTTLSeconds, c)
 }
 
-// postPartItem posts an item about parts under a key of this process. It replaces the last one
+// postProcessItem posts an item under a key of this process. It replaces the last one
 // with the key.
-func (g *Gateway) postPartItem(key string, ttlSeconds int, value any) {
+func (g *Gateway) postProcessItem(key string, ttlSeconds int, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		g.log.Error(err, "An item could not be encoded.", "Key", key)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
-	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
-	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
@@ -135,19 +133,7 @@
 
 // postReach tells the fleet how many targets this host has a path to.
 func (g *Gateway) postReach(reach balance.Reach) {
-	value, err := json.Marshal(reachReport{Host: g.settings.Host, Incarnation: g.started.UnixMilli(), Reach: reach})
-	if err != nil {
-		g.log.Error(err, "A report of paths could not be encoded.")
-		return
-	}
-	g.reachReports++
-	posted := g.gossip.PostNow(bulletin.Item{
-		Key: reachKeyPrefix + g.settings.Host + "@" + strconv.FormatInt(g.started.UnixMilli(), 10), Stamp: g.reachReports, Scope: bulletin.Fleet,
-		TTLSeconds: reachTTLSeconds, Value: value,
-	})
-	if !posted {
-		g.metrics.add("items_dropped_total", 1)
-	}
+	g.postProcessItem(strings.TrimSuffix(reachKeyPrefix, "/"), reachTTLSeconds, reachReport{Host: g.settings.Host, Incarnation: g.started.UnixMilli(), Reach: reach})
 }
 
 // applyReach records the report of another host.
