--- /dev/null
+++ b/review/standins/main.go
@@ -0,0 +1,73 @@
+//go:build review
+
+// Command standins plays the cases of the review: it starts entry hosts as processes beside
+// stand-ins of the platform, its replicas and its clients, and checks a rule.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// maxPlayTime is how long a script may take.
+const maxPlayTime = 118 * time.Second
+
+// The exit codes of a script.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// plays are the cases, by name. Each reports whether the rule was broken.
+var plays = map[string]func(f *fleet, trouble bool) (bool, error){}
+
+func main() {
+	if len(os.Args) > 3 && os.Args[1] == "limited" {
+		fmt.Fprintln(os.Stderr, limited(os.Args[2:]))
+		os.Exit(exitFailed)
+	}
+	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins CASE ROOT FOLDER")
+		os.Exit(exitFailed)
+	}
+	os.Exit(play(plays[os.Args[1]], os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+}
+
+func play(run func(*fleet, bool) (bool, error), root, folder string, trouble bool) int {
+	f, err := newFleet(root, folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	var closing sync.Once
+	end := func() { closing.Do(f.close) }
+	defer end()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(maxPlayTime):
+		}
+		f.record.say("the case was stopped")
+		end()
+		os.Exit(exitFailed)
+	}()
+	broken, err := run(f, trouble)
+	switch {
+	case err != nil:
+		f.record.say("the case could not run: %v", err)
+		return exitFailed
+	case broken:
+		f.record.say("the rule was broken")
+		return exitBroken
+	default:
+		f.record.say("the rule held")
+		return exitHeld
+	}
+}
