review: read TROUBLE in the scripts themselves

The scripts left TROUBLE to the program that they start, so that run.sh had nothing of it. Each now reads it and passes with or without on as an argument.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,6 +23,12 @@
 	exitFailed = 2
 )
 
+// The last argument: whether the case is played with its disruption.
+const (
+	withTrouble    = "with"
+	withoutTrouble = "without"
+)
+
 // plays are the cases, by name. Each reports whether the rule was broken.
 var plays = map[string]func(f *fleet, trouble bool) (bool, error){}
 
@@ -31,11 +37,11 @@
 		fmt.Fprintln(os.Stderr, limited(os.Args[2:]))
 		os.Exit(exitFailed)
 	}
-	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins CASE ROOT FOLDER")
+	if len(os.Args) != 5 || plays[os.Args[1]] == nil || (os.Args[4] != withTrouble && os.Args[4] != withoutTrouble) {
+		fmt.Fprintln(os.Stderr, "usage: standins CASE ROOT FOLDER with|without")
 		os.Exit(exitFailed)
 	}
-	os.Exit(play(plays[os.Args[1]], os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(plays[os.Args[1]], os.Args[2], os.Args[3], os.Args[4] == withTrouble))
 }
 
 func play(run func(*fleet, bool) (bool, error), root, folder string, trouble bool) int {
