--- /dev/null
+++ b/review/part-one/idle-connections/run.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Runs the case. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# TROUBLE=0 leaves the disruption out.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+root=$folder
+while [ ! -f "$root/go.mod" ]; do
+	[ "$root" = / ] && exit 2
+	root=$(dirname "$root")
+done
+cd "$root" || exit 2
+if [ ! -x review/bin/cases ] || [ ! -x target/sequoiarack ]; then
+	echo "build deploy/system.toml and run review/build.sh first" >&2
+	exit 2
+fi
+exec review/bin/cases idle-connections "$folder"
