--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,11 +1,15 @@
 #!/bin/sh
-# Plays the case of claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-# With TROUBLE=0 in the environment it does the same without the disruption, and must exit with 0.
+# Runs the case. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-root=$(cd "$folder/../.." && pwd) || exit 2
-[ -x "$root/review/bin/standins" ] || exit 2
-trouble=with
-if [ "${TROUBLE:-1}" = 0 ]; then # TROUBLE=0
-	trouble=without
+root=$folder
+while [ ! -f "$root/go.mod" ]; do
+	[ "$root" = / ] && exit 2
+	root=$(dirname "$root")
+done
+cd "$root" || exit 2
+if [ ! -x review/bin/cases ] || [ ! -x target/sequoiarack ]; then
+	echo "build deploy/system.toml and run review/build.sh first" >&2
+	exit 2
 fi
-exec "$root/review/bin/standins" descriptors "$root" "$folder" "$trouble"
+exec review/bin/cases idle-connections "$folder"
