--- a/review/cases/idleconns.go
+++ b/review/cases/idleconns.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	idleLimit = 15 * time.Second
 	// maxDescriptors are those of a machine of the site.
 	maxDescriptors = 2870
+	// clientDescriptors are those that the clients and replicas of the case need.
+	clientDescriptors = 4000
 
 	// digestClients ask for long answers, one after the other on the same connection.
 	digestClients  = 12
@@ -32,6 +35,10 @@
 // them after the idle time that the configuration allows. It counts the requests of other clients that
 // were run and got no answer.
 func idleConnections(r *record, trouble bool) (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < clientDescriptors {
+		return 0, fmt.Errorf("the clients need %d descriptors, there are %d", clientDescriptors, limit.Cur)
+	}
 	region := "pk-central"
 	d, err := newDeployment(r, region)
 	if err != nil {
