internal/exchange: let a connection carry each request ID once

Cause: a response was matched to a send by the ID of the request alone, but one ID is sent more than once: again to the same target after a refusal, after the call was at another host, when a stream goes on. A target that sends a refusal a second time, late, on a kept connection had the copy taken for the response to the next send of the same ID on that connection. The same held for copies without an ID and the requests without one (health checks, lists): the property test found it.

Change: a connection remembers the IDs that it has carried (hashes, at most 512, then it is closed) and is not taken for a request whose ID is among them; requests without an ID count as one ID. A connection whose response lacked the ID is not kept.

Evidence: the property test draws orders of sends, refusals, copies (before, after, in pieces, before the request is read whole, without an ID) and closes. A connection is kept for requests with other IDs: second test.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -21,6 +23,8 @@
 	writeBufferBytes = 4 << 10
 	maxIdleTime      = 20 * time.Second
 	defaultMaxIdle   = 64
+	// maxRequestsPerConn bounds the IDs that a connection remembers.
+	maxRequestsPerConn = 512
 )
 
 // Dialer opens connections. Tests use one that cuts links and adds latency.
@@ -48,7 +52,8 @@
 func WithMaxIdle(n int) Option { return func(p *Pool) { p.maxIdle = n } }
 
 // WithEchoHeader sets a header that the peer copies from the request into its response.
-// A response with another value belongs to an earlier exchange and is discarded.
+// A response with another value belongs to an earlier exchange and is discarded. As a
+// response may come twice, a connection carries each value once, and one request without it.
 func WithEchoHeader(header string) Option { return func(p *Pool) { p.echoHeader = header } }
 
 // WithCloseDelimited accepts a body without a declared length as complete when the peer
@@ -74,6 +79,15 @@
 	lastUsed time.Time
 	used     bool          // by an earlier exchange
 	idleTime time.Duration // maximum time between two exchanges
+	carried  []requestID   // of the requests sent so far, in a pool with an echo header
+}
+
+// requestID is the hash of the ID of a request, which the response repeats.
+type requestID uint64
+
+// idOf returns the ID of a request, or that of all requests without one.
+func (p *Pool) idOf(request *fasthttp.Request) requestID {
+	return requestID(xxhash.Sum64(request.Header.Peek(p.echoHeader)))
 }
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
@@ -101,7 +115,8 @@
 // fails, nothing is sent, and the error is of kind Withdrawn.
 func (p *Pool) DoIf(ctx context.Context, address string, request *fasthttp.Request, check func() error) (*Response, error) {
 	const op = "exchange"
-	c, err := p.get(ctx, address)
+	id := p.idOf(request)
+	c, err := p.get(ctx, address, id)
 	if err != nil {
 		return nil, wrap(op, Unsent, err)
 	}
@@ -109,6 +124,9 @@
 		p.put(c)
 		return nil, wrap(op, Withdrawn, err)
 	}
+	if p.echoHeader != "" {
+		c.carried = append(c.carried, id)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	kind, sendErr := send(c, request)
 	if sendErr != nil && kind == Unsent {
@@ -142,8 +160,11 @@
 		if err := r.readHeader(request.Header.IsHead()); err != nil {
 			return err
 		}
-		if r.conn.used && r.pool.unidentified(request, &r.Header) {
-			return errors.New("an answer on a kept connection names no request")
+		if r.pool.unidentified(request, &r.Header) {
+			if r.conn.used {
+				return errors.New("an answer on a kept connection names no request")
+			}
+			r.noReuse = true // a copy of it could pass for the response to a request without an ID
 		}
 		if r.pool.matches(request, &r.Header) {
 			if _, empty := r.body.(noBody); empty {
@@ -201,10 +222,11 @@
 	return Unanswered, err
 }
 
-// get returns a reusable idle connection to address, or else dials a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns a reusable idle connection to address that has not carried the ID, or else
+// dials a new one.
+func (p *Pool) get(ctx context.Context, address string, id requestID) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			break
 		}
@@ -240,16 +262,19 @@
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTime: maxIdleTime}, nil
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle takes the connection used last among the idle ones that have not carried the ID. It
+// returns nil if there is none.
+func (p *Pool) popIdle(address string, id requestID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.carried, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put keeps the connection for reuse, or closes it if the pool is closed or full.
@@ -406,6 +431,9 @@
 	return ok
 }
 
+// LocalAddr returns the local address of the connection, which identifies it in tests and logs.
+func (r *Response) LocalAddr() string { return r.conn.LocalAddr().String() }
+
 // Status returns the status code.
 func (r *Response) Status() int { return r.Header.StatusCode() }
 
@@ -453,13 +481,13 @@
 
 // finish returns the connection to the pool after the end of the body. It closes the
 // connection if it can't be reused: the context has ended, the peer announced to close,
-// or unread bytes follow the response.
+// unread bytes follow the response, or it has carried maxRequestsPerConn requests.
 func (r *Response) finish() {
 	if r.state != bodyOpen {
 		return
 	}
 	r.state = bodyEnded
-	if !r.stop() || r.noReuse || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 {
+	if !r.stop() || r.noReuse || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 || len(r.conn.carried) >= maxRequestsPerConn {
 		_ = r.conn.Close()
 		return
 	}
