internal/gateway: relay requests as they were sent

Cause: the HTTP server parses multipart/form-data with a length before the handler runs, and the copy for the target is written anew from the parsed form: headers of parts are lost, and a boundary that the writer refuses makes its error text the body. The class: the library interprets what must pass as bytes. On the same path it rewrote cookies, the spelling, order and repetition of header names, and passed on headers of the caller's connection.

Change: servers of hosts (callers, peers, and of serve) parse no forms. The copy for a target or another host takes the raw header lines of the caller, less those of one connection, those that Connection names, and those that only hosts set; requests with a trailer are copied as before.

Not preserved: spelling and order of headers beside a trailer; headers of responses.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,6 +166,7 @@
 		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxRequestBodySize: config.MaxBodyBytes, CloseOnShutdown: true,
 		ErrorHandler: d.serveBadRequest, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
+		DisablePreParseMultipartForm: true, // a form is relayed as it came
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/copy.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+// hopByHopHeaders are the headers that a proxy must not relay.
+var hopByHopHeaders = []string{
+	fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, fasthttp.HeaderTransferEncoding, fasthttp.HeaderTrailer,
+	fasthttp.HeaderUpgrade, fasthttp.HeaderContentLength, fasthttp.HeaderTE, "Proxy-Connection",
+}
+
+// copyRequest returns a copy of the caller's request, less the headers that concern one connection or
+// that callers may not set. The others keep their order, repetition and spelling, but for the names that
+// hosts read or set. The caller must release the copy.
+func (c *activeCall) copyRequest() *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	from, to := &c.request.Header, &request.Header
+	if len(from.PeekTrailerKeys()) > 0 {
+		from.CopyTo(to) // the trailer follows the body, in chunks
+	} else {
+		to.DisableNormalizing()
+		to.DisableSpecialHeader()
+		to.SetMethodBytes(from.Method())
+		to.SetBytesV(fasthttp.HeaderHost, from.Host())
+		copyHeaders(from, to, c.gateway.protocol)
+	}
+	to.SetRequestURI(c.meta.Target)
+	to.SetNoDefaultContentType(true)
+	request.SetBodyRaw(c.request.Body())
+	return request
+}
+
+// copyHeaders adds the raw header lines of a request to another one, whose names are not normalized.
+func copyHeaders(from, to *fasthttp.RequestHeader, protocol Protocol) {
+	dropped := append(connectionOptions(from), hopByHopHeaders...)
+	for line := range bytes.Lines(from.RawHeaders()) {
+		key, value, ok := strings.Cut(string(line), ":")
+		isDropped := func(name string) bool { return strings.EqualFold(name, key) }
+		if !ok || slices.ContainsFunc(dropped, isDropped) || isInternal(key) || protocol.Reserved(key) || isDropped(fasthttp.HeaderHost) {
+			continue
+		}
+		to.Add(protocol.Canonical(key), strings.TrimSpace(value))
+	}
+}
+
+// connectionOptions returns the names that the Connection header lists.
+func connectionOptions(h *fasthttp.RequestHeader) []string {
+	var out []string
+	for _, value := range h.PeekAll(fasthttp.HeaderConnection) {
+		for option := range strings.SplitSeq(string(value), ",") {
+			out = append(out, strings.TrimSpace(option))
+		}
+	}
+	return out
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -190,8 +190,7 @@
 func stripInternalHeaders(h *fasthttp.RequestHeader) {
 	var names []string
 	for key := range h.All() {
-		if name := string(key); strings.HasPrefix(name, headerPrefix) || name == core.HeaderPassed ||
-			name == core.HeaderVersion || name == core.HeaderSignature {
+		if name := string(key); isInternal(name) {
 			names = append(names, name)
 		}
 	}
@@ -200,6 +199,12 @@
 	}
 }
 
+// isInternal reports whether only hosts may set a header, whatever the case of its name.
+func isInternal(name string) bool {
+	return len(name) >= len(headerPrefix) && strings.EqualFold(name[:len(headerPrefix)], headerPrefix) ||
+		slices.ContainsFunc([]string{core.HeaderPassed, core.HeaderVersion, core.HeaderSignature}, func(n string) bool { return strings.EqualFold(n, name) })
+}
+
 // servePeer serves requests of other hosts. It refuses requests without a valid signature.
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
 	if !g.verifyRequest(&ctx.Request) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 //	ingress.go      requests of callers and the responses to them
 //	call.go         routing of one call
 //	send.go         attempts at targets
+//	copy.go         requests as they are sent on
 //	forward.go      attempts in other regions, and calls forwarded from there
 //	crashes.go      examination of targets that break off calls
 //	parts.go        parts of prompts that crash targets
@@ -272,6 +273,7 @@
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxRequestBodySize: maxCallBytes, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
+		DisablePreParseMultipartForm: true, // a form is relayed as it came
 	}
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -161,12 +161,6 @@
 	}
 }
 
-// hopByHopHeaders are the headers that a proxy must not relay.
-var hopByHopHeaders = []string{
-	fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, fasthttp.HeaderTransferEncoding, fasthttp.HeaderTrailer,
-	fasthttp.HeaderUpgrade, fasthttp.HeaderContentLength, fasthttp.HeaderTE, "Proxy-Connection",
-}
-
 // writeUpstreamResponse relays a response. It calls end once the body has been passed on; for
 // a stream, that is when the relay is closed.
 func (c *activeCall) writeUpstreamResponse(ctx *fasthttp.RequestCtx, r reply, end func()) {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -85,7 +85,12 @@
 	// IDHeader is the header with the ID of a call. Targets repeat it in their response.
 	IDHeader() string
 	ReadCall(h *fasthttp.RequestHeader) Call
-	// StripReservedHeaders removes headers that callers may not set.
+	// Reserved reports whether callers may not set a header, whatever the case of its name.
+	// StripReservedHeaders removes these headers.
+	Reserved(name string) bool
+	// Canonical returns the usual spelling of the name of a header that hosts set, and other
+	// names as they are.
+	Canonical(name string) string
 	StripReservedHeaders(h *fasthttp.RequestHeader)
 	// CacheListPath is the path at which targets list their prompt cache. ReadCacheList reads
 	// the body of the response.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -254,16 +254,6 @@
 	return core.NotRun
 }
 
-// copyRequest returns a copy of the caller's request. The caller must release it.
-func (c *activeCall) copyRequest() *fasthttp.Request {
-	request := fasthttp.AcquireRequest()
-	c.request.Header.CopyTo(&request.Header)
-	request.Header.SetRequestURI(c.meta.Target)
-	request.Header.SetNoDefaultContentType(true)
-	request.SetBodyRaw(c.request.Body())
-	return request
-}
-
 // newTargetRequest returns a copy of the caller's request with the headers for a target.
 func (c *activeCall) newTargetRequest(t TargetRequest) *fasthttp.Request {
 	request := c.copyRequest()
