internal/link: go on after errors of Accept and ReadFrom that pass

Change: EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED and errors that the system reports at a socket for a peer pause and go on, from 5 to 500 ms; a line a second at most, and a counter. Other errors, and a closed listener, end it as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,6 +145,7 @@
 	if d.peerListener, err = d.network.Listen(d.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
+	d.callerListener, d.peerListener = d.retryAccept(d.callerListener), d.retryAccept(d.peerListener)
 	if d.packetConn, err = d.network.ListenPacket(d.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
@@ -160,6 +161,11 @@
 	return nil
 }
 
+// retryAccept makes a server go on after an error that passes.
+func (d *Daemon) retryAccept(l net.Listener) net.Listener {
+	return link.RetryAccept(l, func(err error) { d.log.Error(err, "Accepting a connection failed; trying again.") })
+}
+
 func (d *Daemon) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: maxHeaderBytes,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,24 +98,25 @@
 	// coordinatorTimeout bounds a call's wait for load replies of coordinators.
 	coordinatorTimeout time.Duration
 
-	targetPool       *exchange.Pool // to targets
-	peerPool         *exchange.Pool // to hosts, for calls
-	bodyMemory       *exchange.MemoryBudget
-	controlPool      *exchange.Pool // to hosts, for control requests
-	storePool        *exchange.Pool
-	catalogue        *catalogue.Catalogue
-	follower         *catalogue.Follower
-	gossip           *gossip.Service
-	hangups          *hangup.Watcher
-	metrics          *metrics
-	suspectedCrashes *ring.Queue[suspectedCrash]
-	clearances       *ring.Queue[dueClearance]
-	updates          *ring.Queue[catalogue.Update]
-	doubtsRaised     chan struct{} // wakes checkHealth
-	pathsSuspected   chan struct{} // wakes probePaths
-	messageConn      net.PacketConn
-	gossipConn       net.PacketConn
-	servers          []namedServer
+	exhaustionLoggedAt atomic.Int64   // Unix nanoseconds
+	targetPool         *exchange.Pool // to targets
+	peerPool           *exchange.Pool // to hosts, for calls
+	bodyMemory         *exchange.MemoryBudget
+	controlPool        *exchange.Pool // to hosts, for control requests
+	storePool          *exchange.Pool
+	catalogue          *catalogue.Catalogue
+	follower           *catalogue.Follower
+	gossip             *gossip.Service
+	hangups            *hangup.Watcher
+	metrics            *metrics
+	suspectedCrashes   *ring.Queue[suspectedCrash]
+	clearances         *ring.Queue[dueClearance]
+	updates            *ring.Queue[catalogue.Update]
+	doubtsRaised       chan struct{} // wakes checkHealth
+	pathsSuspected     chan struct{} // wakes probePaths
+	messageConn        net.PacketConn
+	gossipConn         net.PacketConn
+	servers            []namedServer
 
 	// reportMu keeps load reports and changes in the order of the states that they
 	// describe. It is locked before mu.
@@ -248,7 +249,7 @@
 		if err != nil {
 			return errors.Wrap(err, h.name)
 		}
-		g.servers = append(g.servers, namedServer{name: h.name, server: newServer(h.handler), listener: listener})
+		g.servers = append(g.servers, namedServer{name: h.name, server: newServer(h.handler), listener: g.retryAccept(h.name, listener)})
 	}
 	var err error
 	if g.gossipConn, err = g.network.ListenPacket(g.settings.PeerAddress); err != nil {
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -192,7 +192,7 @@
 	defer link.CloseWith(ctx, g.messageConn)()
 	buffer := make([]byte, messageBufferBytes)
 	for {
-		n, _, err := g.messageConn.ReadFrom(buffer)
+		n, _, err := link.ReadFrom(g.messageConn, buffer, func(err error) { g.recordExhaustion("load reports", err) })
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -208,7 +208,7 @@
 	defer link.CloseWith(ctx, s.conn)()
 	buffer := make([]byte, readBufferBytes)
 	for {
-		n, from, err := s.conn.ReadFrom(buffer)
+		n, from, err := link.ReadFrom(s.conn, buffer, func(err error) { s.log.Error(err, "Receiving failed; trying again.") })
 		if ctx.Err() != nil {
 			return nil
 		}
