internal/gateway: enforce the limits of the configuration and bound connections

Cause: route.Limits was decoded and used nowhere. Nothing bounded the connections of callers, or closed an idle connection of a pool unless its address was asked for again.

Change: a limiter at each listener closes idle connections after the timeout in force, also those that are open when it changes, and bounds them to a share of the process's descriptors (callers half; the limit of the system or the new setting MaxDescriptors); the longest idle one makes room for a new one or for a connection to a target. It closes only by ending the server's wait for a request; once the first byte is read, the server goes on. header_timeout_ms (408), max_header_bytes (431) and max_body_bytes (413) hold as well. Pools close connections that are idle for too long or lead to targets that left, each second, and keep a bounded number. A dial that lacks a descriptor is no sign against the target.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/claim"
 	"github.com/sequoiarack/sequoiarack/internal/clock"
 	"github.com/sequoiarack/sequoiarack/internal/config"
+	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/dispatch"
 	"github.com/sequoiarack/sequoiarack/internal/duty"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
@@ -43,6 +44,8 @@
 	claimRegistryMargin = time.Hour // added to claimRetention, so that an entry outlives its key
 	shutdownTimeout     = 5 * time.Second
 	directoryTTLSeconds = 6
+	// callerDescriptorShare is one over the share of the process's descriptors that callers may use.
+	callerDescriptorShare = 2
 )
 
 // Daemon is one host of the gateway.
@@ -78,6 +81,7 @@
 	limiters      limiterTable
 	metrics       *metrics
 
+	callerLimiter  *link.Limiter
 	callerServer   *fasthttp.Server
 	peerServer     *fasthttp.Server
 	callerListener net.Listener
@@ -113,9 +117,10 @@
 	for _, option := range options {
 		option(d)
 	}
+	d.callerLimiter = link.NewLimiter(d.clock, link.WithMaxConns(link.Descriptors(0)/callerDescriptorShare), link.WithIdleTimeout(idleTimeout))
 	d.incarnation = d.clock.Now().UnixMilli()
-	d.targetPool = exchange.NewPool(d.network)
-	d.forwardPool = exchange.NewPool(d.network)
+	d.targetPool = exchange.NewPool(d.network, exchange.WithEchoHeader(core.HeaderRequestID))
+	d.forwardPool = exchange.NewPool(d.network, exchange.WithEchoHeader(core.HeaderRequestID))
 	d.controlBytes = link.NewCounter(d.network)
 	d.controlPool = exchange.NewPool(d.controlBytes)
 	d.targetClient = attempt.NewClient(d.targetPool)
@@ -142,10 +147,11 @@
 	if d.callerListener, err = d.network.Listen(d.settings.CallerAddress); err != nil {
 		return errors.Wrap(err, "caller address")
 	}
+	d.callerListener = d.callerLimiter.Listen(d.retryAccept(d.callerListener))
 	if d.peerListener, err = d.network.Listen(d.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	d.callerListener, d.peerListener = d.retryAccept(d.callerListener), d.retryAccept(d.peerListener)
+	d.peerListener = d.retryAccept(d.peerListener)
 	if d.packetConn, err = d.network.ListenPacket(d.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
@@ -157,13 +163,20 @@
 		gossip.WithClock(d.clock), gossip.WithLogger(d.log.WithName("gossip")),
 		gossip.WithSeeds(d.settings.Seeds), gossip.WithFetch(d.fetchItems), gossip.WithOnItem(d.onItem))
 	d.callerServer = d.newServer(d.serveCaller)
+	d.callerServer.ConnState = d.callerLimiter.OnState
 	d.peerServer = d.newServer(d.servePeer)
 	return nil
 }
 
-// retryAccept makes a server go on after an error that passes.
+// retryAccept makes a server go on after an error that passes. A lack of descriptors closes the connection
+// of the caller that has been idle for the longest time.
 func (d *Daemon) retryAccept(l net.Listener) net.Listener {
-	return link.RetryAccept(l, func(err error) { d.log.Error(err, "Accepting a connection failed; trying again.") })
+	return link.RetryAccept(l, func(err error) {
+		d.log.Error(err, "Accepting a connection failed; trying again.", "Callers", d.callerLimiter.Open())
+		if link.IsExhausted(err) {
+			d.callerLimiter.MakeRoom()
+		}
+	})
 }
 
 func (d *Daemon) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -36,13 +36,15 @@
 type Pool struct {
 	dialer         Dialer
 	maxIdle        int
+	maxIdleTotal   int
 	echoHeader     string // header that a response copies from its request
 	closeDelimited bool
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	closed bool
+	mu        sync.Mutex
+	idle      map[string][]*conn // by address, the one used last at the end
+	idleTotal int
+	closed    bool
 }
 
 // Option changes a Pool under construction.
@@ -51,6 +53,10 @@
 // WithMaxIdle sets the maximum number of idle connections per address.
 func WithMaxIdle(n int) Option { return func(p *Pool) { p.maxIdle = n } }
 
+// WithMaxIdleTotal sets the maximum number of idle connections, 0 for no bound. Beyond it, the one used
+// least recently is closed.
+func WithMaxIdleTotal(n int) Option { return func(p *Pool) { p.maxIdleTotal = n } }
+
 // WithEchoHeader sets a header that the peer copies from the request into its response.
 // A response with another value belongs to an earlier exchange and is discarded. As a
 // response may come twice, a connection carries each value once, and one request without it.
@@ -270,13 +276,72 @@
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
 		if !slices.Contains(c.carried, id) {
-			p.idle[address] = slices.Delete(list, i, i+1)
+			p.setIdle(address, slices.Delete(list, i, i+1))
 			return c
 		}
 	}
 	return nil
 }
 
+// setIdle replaces the idle connections of an address. The caller holds p.mu.
+func (p *Pool) setIdle(address string, list []*conn) {
+	p.idleTotal += len(list) - len(p.idle[address])
+	if len(list) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = list
+}
+
+// Sweep closes the idle connections that have been idle for too long, and those to addresses that keep
+// does not want. A nil keep wants all.
+func (p *Pool) Sweep(keep func(address string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for address, list := range p.idle {
+		wanted := keep == nil || keep(address)
+		var rest []*conn
+		for _, c := range list {
+			if wanted && now.Sub(c.lastUsed) < c.idleTime {
+				rest = append(rest, c)
+			} else {
+				_ = c.Close()
+			}
+		}
+		p.setIdle(address, rest)
+	}
+}
+
+// CloseOldest closes the idle connection that was used least recently. It reports whether there was one.
+func (p *Pool) CloseOldest() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closeOldest()
+}
+
+func (p *Pool) closeOldest() bool {
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].lastUsed.Before(oldest.lastUsed) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	_ = oldest.Close()
+	p.setIdle(oldest.address, p.idle[oldest.address][1:])
+	return true
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.idleTotal
+}
+
 // put keeps the connection for reuse, or closes it if the pool is closed or full.
 func (p *Pool) put(c *conn) {
 	c.lastUsed, c.used = time.Now(), true
@@ -286,7 +351,10 @@
 		_ = c.Close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	if p.maxIdleTotal > 0 && p.idleTotal >= p.maxIdleTotal {
+		p.closeOldest()
+	}
+	p.setIdle(c.address, append(p.idle[c.address], c))
 }
 
 // Close closes all idle connections. Those in use are closed when their exchange ends.
@@ -299,7 +367,7 @@
 			_ = c.Close()
 		}
 	}
-	p.idle = map[string][]*conn{}
+	p.idle, p.idleTotal = map[string][]*conn{}, 0
 }
 
 // Response is a response whose header was read. The body is read with Read or ReadAll.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
@@ -102,7 +103,7 @@
 	c.addStep("host %s: %v", host.Host, err)
 	cancelled := a.ctx.Err() != nil
 	a.end(balance.Abandoned)
-	if !cancelled {
+	if !cancelled && !link.IsExhausted(err) {
 		c.gateway.recordHostFailure(host.Host, host.Region)
 	}
 	if kind == exchange.Unsent {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 //	call.go         routing of one call
 //	send.go         attempts at targets
 //	copy.go         requests as they are sent on
+//	connections.go  bounds on connections, and limits on requests of callers
 //	forward.go      attempts in other regions, and calls forwarded from there
 //	crashes.go      examination of targets that break off calls
 //	parts.go        parts of prompts that crash targets
@@ -58,14 +59,16 @@
 )
 
 const (
-	maxTasks = 20
+	maxTasks = 24
 	// maxHeaderBytes is also the size of the read buffer of each active connection.
 	// Configurations allow headers of up to 16 KiB.
 	maxHeaderBytes = 20 << 10
 	maxCallBytes   = 64 << 20
-	// idleTimeout exceeds every idle timeout that a configuration may set for callers.
-	idleTimeout   = 90 * time.Second
-	headerTimeout = 30 * time.Second
+	// idleTimeout and headerTimeout hold where no configuration sets others. serverIdleTimeout exceeds
+	// every idle timeout, which limiters enforce.
+	idleTimeout       = 90 * time.Second
+	headerTimeout     = 30 * time.Second
+	serverIdleTimeout = 24 * time.Hour
 	// drainNotice is how long a draining host still accepts all calls, so that callers find other
 	// hosts in the directory: half of the drain time at most. Later it accepts calls on open
 	// connections that are sure to end within the drain time.
@@ -98,6 +101,7 @@
 	// coordinatorTimeout bounds a call's wait for load replies of coordinators.
 	coordinatorTimeout time.Duration
 
+	callers            *link.Limiter
 	exhaustionLoggedAt atomic.Int64   // Unix nanoseconds
 	targetPool         *exchange.Pool // to targets
 	peerPool           *exchange.Pool // to hosts, for calls
@@ -174,6 +178,7 @@
 	name     string
 	server   *fasthttp.Server
 	listener net.Listener
+	limiter  *link.Limiter
 }
 
 // Option changes a Gateway under construction.
@@ -222,7 +227,9 @@
 	}
 	g.suspendedFor = g.sinceBoot()
 	g.started = g.clock.Now()
-	g.targetPool = exchange.NewPool(g.network, exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime))
+	g.network = reclaimingNetwork{Network: g.network, gateway: g}
+	g.callers = g.newLimiter("caller server", callerShare)
+	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime))
 	g.peerPool = exchange.NewPool(g.network)
 	g.controlPool = exchange.NewPool(g.network)
 	g.storePool = exchange.NewPool(g.network)
@@ -237,20 +244,23 @@
 	handlers := []struct {
 		name, address string
 		handler       fasthttp.RequestHandler
+		limiter       *link.Limiter
 	}{
-		{"caller server", g.settings.CallerAddress, g.serveCaller},
-		{"peer server", g.settings.PeerAddress, g.servePeer},
-		{"readiness server", g.settings.ReadinessAddress, g.serveReadiness},
-		{"directory server", g.settings.DirectoryAddress, g.serveDirectory},
-		{"metrics server", g.settings.MetricsAddress, g.serveMetrics},
+		{"caller server", g.settings.CallerAddress, g.serveCaller, g.callers},
+		{"peer server", g.settings.PeerAddress, g.servePeer, g.newLimiter("peer server", peerShare)},
+		{"readiness server", g.settings.ReadinessAddress, g.serveReadiness, g.newLimiter("readiness server", otherServerShare)},
+		{"directory server", g.settings.DirectoryAddress, g.serveDirectory, g.newLimiter("directory server", directoryShare)},
+		{"metrics server", g.settings.MetricsAddress, g.serveMetrics, g.newLimiter("metrics server", otherServerShare)},
 	}
 	for _, h := range handlers {
 		listener, err := g.network.Listen(h.address)
 		if err != nil {
 			return errors.Wrap(err, h.name)
 		}
-		g.servers = append(g.servers, namedServer{name: h.name, server: newServer(h.handler), listener: g.retryAccept(h.name, listener)})
+		server := newServer(h.handler, h.limiter)
+		g.servers = append(g.servers, namedServer{name: h.name, server: server, listener: h.limiter.Listen(g.retryAccept(h.name, listener)), limiter: h.limiter})
 	}
+	g.servers[0].server.HeaderReceived = g.requestConfig
 	var err error
 	if g.gossipConn, err = g.network.ListenPacket(g.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
@@ -269,10 +279,11 @@
 	return nil
 }
 
-func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func newServer(handler fasthttp.RequestHandler, limiter *link.Limiter) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: limiter.OnState, ErrorHandler: rejectRequest,
+		ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: serverIdleTimeout,
 		MaxRequestBodySize: maxCallBytes, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
 		DisablePreParseMultipartForm: true, // a form is relayed as it came
 	}
@@ -299,6 +310,7 @@
 	group.Go("path prober", g.probePaths)
 	group.Go("lister", g.pollCacheLists)
 	group.Go("hang-ups", func(ctx context.Context) error { return g.hangups.Run(ctx, g.clock) })
+	group.Go("connection sweeper", g.sweepConnections)
 	for _, s := range g.servers {
 		group.Go(s.name, s.run)
 	}
@@ -358,6 +370,9 @@
 // configure passes a new snapshot of the catalogue to the balancer.
 func (g *Gateway) configure(s *catalogue.Snapshot) {
 	g.observeVersions(s)
+	if s.Table != nil {
+		g.callers.SetTimeouts(s.Table.Limits().IdleTimeout, s.Table.Limits().HeaderTimeout)
+	}
 	g.mu.Lock()
 	restarts := g.balancer.Configure(g.clock.Now(), s)
 	g.mu.Unlock()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -28,6 +28,11 @@
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx) {
+	if g.headerExceeds(&ctx.Request.Header) {
+		ctx.Error("the header is too long", fasthttp.StatusRequestHeaderFieldsTooLarge)
+		ctx.SetConnectionClose()
+		return
+	}
 	stripInternalHeaders(&ctx.Request.Header)
 	if c := g.newActiveCall(ctx, false); c != nil {
 		g.serveActiveCall(ctx, c)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
@@ -277,6 +278,10 @@
 		c.gateway.metrics.add("withdrawn_sends_total", 1)
 		return result{outcome: core.NotRun, reason: "the target may have restarted"}
 	}
+	if link.IsExhausted(err) { // says nothing about the target
+		a.end(balance.Abandoned)
+		return unsentResult("the host has no free descriptor")
+	}
 	if a.ctx.Err() == nil {
 		c.gateway.recordSendFailure(target, err)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -51,6 +51,9 @@
 	DirectoryTTLSeconds float64 `json:"DirectoryTTLSeconds"`
 	// Policy has the weights of the routing decisions. Missing fields have their defaults.
 	Policy balance.Policy `json:"Policy"`
+	// MaxDescriptors bounds the file descriptors of the process, beside the limit of the operating
+	// system. 0 means no other bound.
+	MaxDescriptors int `json:"MaxDescriptors,omitempty"`
 	// LogLevel is 0 for the usual messages and 1 for more.
 	LogLevel int `json:"LogLevel,omitempty"`
 }
@@ -108,6 +111,7 @@
 	require(s.RetryRatio >= 0 && s.RetrySlack >= 0, "RetryRatio", "expected no negative figures")
 	require(s.RetryWindowSeconds > 0, "RetryWindowSeconds", "expected positive seconds, got %g", s.RetryWindowSeconds)
 	require(s.DirectoryTTLSeconds > 0, "DirectoryTTLSeconds", "expected positive seconds, got %g", s.DirectoryTTLSeconds)
+	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	return append(problems, s.Policy.Check("Policy")...)
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -47,6 +47,9 @@
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.document.Version }
 
+// Limits returns the limits on requests of callers.
+func (t *Table) Limits() Limits { return t.document.Limits }
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.document.Routes) }
 
