internal/exchange: number the requests between hosts

Change: the pool numbers its requests in a header that the other host repeats; a response with another number is discarded. Hosts of builds before do not repeat it, so a response without a number is accepted.

Test: the property test of copies, with the option of numbers. Not covered: the store, whose protocol has no such header.

--- a/internal/exchange/copies_test.go
+++ b/internal/exchange/copies_test.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	idHeader   = "X-Id"
-	sendHeader = "X-Send"
+	idHeader     = "X-Id"
+	numberHeader = "X-Number"
+	sendHeader   = "X-Send"
 )
 
 // copyPlan is what a copying peer does for one request.
@@ -104,9 +105,12 @@
 		if !plan.Early {
 			copies(plan.Before, plan.InPieces)
 		}
-		id := idHeader + ": " + string(request.Header.Peek(idHeader)) + "\r\n"
-		if plan.Unidentified {
-			id = ""
+		id := ""
+		if !plan.Unidentified {
+			id = idHeader + ": " + string(request.Header.Peek(idHeader)) + "\r\n"
+		}
+		if n := request.Header.Peek(numberHeader); len(n) > 0 { // peers that number their responses always do
+			id += numberHeader + ": " + string(n) + "\r\n"
 		}
 		answer := fmt.Sprintf("HTTP/1.1 %d Planned\r\n%sContent-Length: %d\r\n\r\n%s", plan.Status, id, len(number), number)
 		write(answer, false)
@@ -118,14 +122,14 @@
 	}
 }
 
-var _ = Describe("Pool with an echo header", func() {
+var _ = Describe("Pool of peers that repeat a header", func() {
 	// Guards against a booking that runs twice, or is called not run although it ran, because the copy
 	// of an earlier refusal passes for the response to the next send of the same request.
-	It("gives each send its own response or none, whatever copies of responses come", func() {
+	DescribeTable("gives each send its own response or none, whatever copies of responses come", func(option exchange.Option) {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			peer := newCopyingPeer()
 			defer func() { _ = peer.listener.Close() }()
-			pool := exchange.NewPool(link.NewSystem(""), exchange.WithEchoHeader(idHeader))
+			pool := exchange.NewPool(link.NewSystem(""), option)
 			defer pool.Close()
 			var open []*exchange.Response
 			var numbers []string
@@ -164,7 +168,10 @@
 				read(0)
 			}
 		})
-	})
+	},
+		Entry("by the ID of the caller, which comes more than once", exchange.WithEchoHeader(idHeader)),
+		Entry("by a number of its own", exchange.WithNumbers(numberHeader)),
+	)
 
 	// Guards against one connection for each request, which costs the peer time.
 	It("reuses a connection for requests with other IDs, and opens one for each repeat", func() {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,9 +39,12 @@
 	maxIdle        int
 	maxIdleTotal   int
 	echoHeader     string // header that a response copies from its request
+	numbered       bool   // each request gets a new value of echoHeader
 	closeDelimited bool
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
 
+	sent atomic.Uint64 // requests, if numbered
+
 	mu        sync.Mutex
 	idle      map[string][]*conn // by address, the one used last at the end
 	idleTotal int
@@ -62,6 +66,13 @@
 // response may come twice, a connection carries each value once, and one request without it.
 func WithEchoHeader(header string) Option { return func(p *Pool) { p.echoHeader = header } }
 
+// WithNumbers makes the pool number its requests in a header that the peer copies into its response. A
+// response with another number belongs to another request and is discarded. One without a number is
+// accepted, as peers may not know the header.
+func WithNumbers(header string) Option {
+	return func(p *Pool) { p.echoHeader, p.numbered = header, true }
+}
+
 // WithCloseDelimited accepts a body without a declared length as complete when the peer
 // closes the connection. When the connection is reset, the body counts as incomplete.
 func WithCloseDelimited() Option { return func(p *Pool) { p.closeDelimited = true } }
@@ -121,6 +132,9 @@
 // fails, nothing is sent, and the error is of kind Withdrawn.
 func (p *Pool) DoIf(ctx context.Context, address string, request *fasthttp.Request, check func() error) (*Response, error) {
 	const op = "exchange"
+	if p.numbered {
+		request.Header.Set(p.echoHeader, strconv.FormatUint(p.sent.Add(1), 16))
+	}
 	id := p.idOf(request)
 	c, err := p.get(ctx, address, id)
 	if err != nil {
@@ -130,7 +144,7 @@
 		p.put(c)
 		return nil, wrap(op, Withdrawn, err)
 	}
-	if p.echoHeader != "" {
+	if p.echoHeader != "" && !p.numbered {
 		c.carried = append(c.carried, id)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -198,7 +212,7 @@
 // unidentified reports whether a response lacks the header of the request that it should echo.
 // On a kept connection, such a response may be one to an earlier request.
 func (p *Pool) unidentified(request *fasthttp.Request, response *fasthttp.ResponseHeader) bool {
-	return p.echoHeader != "" && len(request.Header.Peek(p.echoHeader)) > 0 && len(response.Peek(p.echoHeader)) == 0
+	return p.echoHeader != "" && !p.numbered && len(request.Header.Peek(p.echoHeader)) > 0 && len(response.Peek(p.echoHeader)) == 0
 }
 
 // matches reports whether the response header echoes the value of the request. A response
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,6 +30,9 @@
 	// its target in the same header.
 	headerVersion = "Gateway-Software"
 
+	// headerNumber is the number of a request between hosts. The response repeats it.
+	headerNumber = "Gateway-Number"
+
 	// Of the response. headerOutdated is set if the host has an older configuration than the
 	// sender, and headerElapsed is the time that the call took at the host.
 	headerElapsed  = "Gateway-Took-Ms"
@@ -208,6 +211,9 @@
 
 // servePeer serves requests of other hosts. It refuses requests without a valid signature.
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
+	if number := string(ctx.Request.Header.Peek(headerNumber)); number != "" {
+		defer func() { ctx.Response.Header.Set(headerNumber, number) }()
+	}
 	if !g.verifyRequest(&ctx.Request) {
 		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,8 +230,8 @@
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
 	g.callers = g.newLimiter("caller server", callerShare)
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime))
-	g.peerPool = exchange.NewPool(g.network)
-	g.controlPool = exchange.NewPool(g.network)
+	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
+	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
 	g.storePool = exchange.NewPool(g.network)
 	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes)
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -184,7 +184,7 @@
 		}
 		c.setElapsedHeader(h)
 	} else {
-		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect, headerNoPath, headerVersion} {
+		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect, headerNoPath, headerVersion, headerNumber} {
 			h.Del(name)
 		}
 	}
