internal/gateway: charge each repeat of a call once, whichever host sends it

Cause: a forward was charged only after an attempt that may have run the call, not after a refusal, and the host that got the call took its first send for the first of the call: not charged, and a second deposit. A host that had just started took the whole slack of the fleet for its own until it knew others (by reading).

Change: a forwarded call says how many sends have reached targets before, its response how many the other host made. The host that took the call from its caller deposits once, and charges a forward that is a repeat; the other host sends once for that and charges the rest. Hosts of builds before say nothing: their response counts as one arrival. A call that another region refused without a send is no repeat any more. A host gets its share of the slack only once it has had time to discover the others.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,17 +31,21 @@
 	cancel     context.CancelFunc
 	request    *fasthttp.Request // of the caller, without reserved headers
 
-	heldFor      time.Duration // total delay before attempts
-	diverted     []string      // targets that had no room for the call under their limits
-	spilled      bool          // goes to another region because the own one lacks capacity
-	attempts     int           // attempts that may have run the call
-	refusals     int           // attempts that were refused without running the call
-	triedTargets []string
-	triedRegions []string
+	heldFor  time.Duration // total delay before attempts
+	diverted []string      // targets that had no room for the call under their limits
+	spilled  bool          // goes to another region because the own one lacks capacity
+	attempts int           // attempts that may have run the call
+	refusals int           // attempts that were refused without running the call
+	arrivals int           // sends that have reached targets, by this host or others, or may have
+	// repeat is set if the call had reached a target before another host forwarded it, and prepaid
+	// until the send for which that host has charged the retry budget.
+	repeat, prepaid bool
+	triedTargets    []string
+	triedRegions    []string
 	// triedNeighbours are the hosts of the own region that the call was passed to.
 	triedNeighbours []string
 	unsent          int  // attempts that reached neither a target nor a host with a path
-	counted         bool // the call has added to the retry budget
+	counted         bool // the call has added to the retry budget, here or at the host that forwarded it
 	// regionRetryAfter is the shortest Retry-After of the tried regions, 0 if none gave one.
 	regionRetryAfter time.Duration
 	steps            []string // decisions and their results, for the log
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -20,11 +20,12 @@
 	leavingTTLSeconds = 120
 )
 
-// budget returns the retry budget of a service. The caller holds g.mu.
+// budget returns the retry budget of a service. It has no share of the slack until the host has had time
+// to discover the others that share it. The caller holds g.mu.
 func (g *Gateway) budget(service string) *balance.RetryBudget {
 	b := g.budgets[service]
 	if b == nil {
-		b = balance.NewRetryBudget(g.started, g.settings.RetryRatio, g.settings.RetrySlack, time.Duration(g.settings.RetryWindowSeconds*float64(time.Second)), g.rng.Float64())
+		b = balance.NewRetryBudget(g.started.Add(discoveryTime), g.settings.RetryRatio, g.settings.RetrySlack, time.Duration(g.settings.RetryWindowSeconds*float64(time.Second)), g.rng.Float64())
 		g.budgets[service] = b
 	}
 	b.SetHosts(len(g.gossip.View().Members))
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -33,6 +33,12 @@
 	// headerNumber is the number of a request between hosts. The response repeats it.
 	headerNumber = "Gateway-Number"
 
+	// headerArrivals is how many sends of the call have reached targets, or may have: before it was
+	// forwarded, and in the response by the host that got it. The host that forwards a call has counted
+	// it for the retry budget, and charged the next send if there were any. Hosts of builds without the
+	// header do neither.
+	headerArrivals = "Gateway-Arrivals"
+
 	// Of the response. headerOutdated is set if the host has an older configuration than the
 	// sender, and headerElapsed is the time that the call took at the host.
 	headerElapsed  = "Gateway-Took-Ms"
@@ -62,7 +68,7 @@
 
 // forward sends the call to another host, which sends it to one of its targets.
 func (c *activeCall) forward(host member.Info) (*upstreamResponse, result) {
-	if c.attempts > 0 && !c.chargeRetryBudget() {
+	if !c.chargeRetryBudget() {
 		return nil, result{outcome: c.outcomeWithoutRetry(), reason: "the budget for repeats is spent", last: true}
 	}
 	a := c.newAttempt(c.remaining(), "")
@@ -86,6 +92,7 @@
 	h.Set(headerAge, strconv.FormatInt(c.gateway.clock.Now().Sub(c.acceptedAt).Milliseconds(), 10))
 	h.Set(core.HeaderPassed, core.Hops(nil).Append(c.gateway.settings.Region, c.gateway.settings.Host).String())
 	h.Set(core.HeaderVersion, strconv.FormatUint(c.version, 10))
+	h.Set(headerArrivals, strconv.Itoa(c.arrivals))
 	if c.spilled {
 		h.Set(headerSpilled, "1")
 	}
@@ -112,6 +119,7 @@
 	if kind == exchange.Unsent {
 		return unsentResult("no connection to another host")
 	}
+	c.arrivals++
 	c.attempts++
 	return result{outcome: core.Unknown, reason: "another host did not answer"}
 }
@@ -120,6 +128,7 @@
 func (a *attempt) readForwardResponse(host member.Info, response *exchange.Response) (*upstreamResponse, result) {
 	c := a.call
 	outcome := core.ParseOutcome(response.Get(core.HeaderOutcome))
+	c.arrivals += arrivalsOf(response)
 	reason := response.Get(headerReason)
 	if outcome != core.Run {
 		if _, err := response.ReadAll(maxBodyBytes); err != nil {
@@ -163,6 +172,15 @@
 	return a.finishResponse(u, min(response.Status(), fasthttp.StatusOK))
 }
 
+// arrivalsOf returns how many sends by another host have reached targets, or may have. One that does not
+// say may have sent the call.
+func arrivalsOf(response *exchange.Response) int {
+	if n, err := strconv.Atoi(response.Get(headerArrivals)); err == nil && n >= 0 {
+		return n
+	}
+	return 1
+}
+
 // retryRegion lets the call go to another host of a region.
 func (c *activeCall) retryRegion(region string) {
 	c.triedRegions = slices.DeleteFunc(c.triedRegions, func(r string) bool { return r == region })
@@ -232,6 +250,7 @@
 
 // serveForwardedCall runs a call that another host forwarded.
 func (g *Gateway) serveForwardedCall(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(headerArrivals, "0") // until the call is sent
 	h := &ctx.Request.Header
 	passed := core.ParseHops(string(h.Peek(core.HeaderPassed)))
 	if len(passed) != 1 || passed.HasHost(g.settings.Host) {
@@ -252,6 +271,9 @@
 	if left := atoi(string(h.Peek(headerRemaining))); left > 0 {
 		c.deadline = g.clock.Now().Add(time.Duration(left) * time.Millisecond)
 	}
+	if before, err := strconv.Atoi(string(h.Peek(headerArrivals))); err == nil {
+		c.counted, c.repeat, c.prepaid = true, before > 0, before > 0
+	}
 	if last := string(h.Peek(headerLastEvent)); last != "" {
 		c.meta.LastEventID = last
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -112,7 +112,7 @@
 	}
 	if r.upstream == nil {
 		g.writeHostReply(ctx, r)
-		c.setElapsedHeader(&ctx.Response.Header)
+		c.setForwardHeaders(&ctx.Response.Header)
 		c.logEnd(r.status, r.outcome, r.reason)
 		end()
 		return
@@ -131,9 +131,10 @@
 	return c.hostReply("the host is leaving", g.jitter(shortRetryAfter)), true
 }
 
-// setElapsedHeader sets how long a forwarded call took at this host.
-func (c *activeCall) setElapsedHeader(h *fasthttp.ResponseHeader) {
+// setForwardHeaders sets how long a forwarded call took at this host, and how often it reached targets.
+func (c *activeCall) setForwardHeaders(h *fasthttp.ResponseHeader) {
 	if c.fromPeer {
+		h.Set(headerArrivals, strconv.Itoa(c.arrivals))
 		h.Set(headerElapsed, strconv.FormatInt(c.gateway.clock.Now().Sub(c.arrivedAt).Milliseconds(), 10))
 	}
 }
@@ -182,9 +183,9 @@
 		if u.version != continuation.Unknown {
 			h.Set(headerVersion, formatVersion(u.version))
 		}
-		c.setElapsedHeader(h)
+		c.setForwardHeaders(h)
 	} else {
-		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect, headerNoPath, headerVersion, headerNumber} {
+		for _, name := range []string{core.HeaderOutcome, headerTarget, headerElapsed, headerReason, headerSuspect, headerNoPath, headerVersion, headerNumber, headerArrivals} {
 			h.Del(name)
 		}
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -231,20 +231,28 @@
 	}
 }
 
-// chargeRetryBudget reports whether the retry budget allows another attempt, and charges it.
-// The first attempt of a call is always allowed, and adds to the budget.
+// chargeRetryBudget reports whether the retry budget allows another send, and charges it. The first
+// send of a call that reaches a target is always allowed, and adds to the budget. Each later one is
+// charged once: a forward by the host that forwards the call, all others by the host that sends it to
+// a target.
 func (c *activeCall) chargeRetryBudget() bool {
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
 	budget, now := c.gateway.budget(c.service), c.gateway.clock.Now()
-	if c.attempts+c.refusals == 0 {
+	if c.prepaid {
+		c.prepaid = false
+		return true
+	}
+	if c.arrivals == 0 && !c.repeat {
 		if !c.counted {
 			c.counted = true
 			budget.Deposit(now)
 		}
 		return true
 	}
-	return budget.TryWithdraw(now)
+	allowed := budget.TryWithdraw(now)
+	c.gateway.metrics.add(fmt.Sprintf("repeats_total{service=%q,allowed=\"%t\"}", c.service, allowed), 1)
+	return allowed
 }
 
 // outcomeWithoutRetry returns the outcome of the call if no further attempt is made.
@@ -290,6 +298,7 @@
 		c.gateway.wakePathProbes()
 		return unsentResult("no connection to a target")
 	}
+	c.arrivals++
 	c.attempts++
 	return a.endUnanswered("a target did not answer")
 }
@@ -337,6 +346,7 @@
 	c, target := a.call, a.choice.Target
 	headers := c.gateway.protocol.ReadTargetResponse(&response.Header)
 	status := response.Status()
+	c.arrivals++
 	if status != fasthttp.StatusMisdirectedRequest { // sent by another target
 		c.gateway.recordTargetState(target, a.sentAt, headers)
 	}
