internal/gateway: relay no promise that a target has not made

Cause: a response of a target without the header that says "not run" was relayed with its status, also 408, 429 and 503.

Change: such a response ends the attempt as one that may have run; the caller gets 502 without the target's seal, or the call is repeated where it may be and the target is known to fail.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -169,7 +169,7 @@
 		return nil, result{outcome: core.Unknown, reason: "an answer broke off"}
 	}
 	a.onFirstByte()
-	return a.finishResponse(u, min(response.Status(), fasthttp.StatusOK))
+	return a.finishResponse(u)
 }
 
 // arrivalsOf returns how many sends by another host have reached targets, or may have. One that does not
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -370,26 +370,45 @@
 		return nil, a.endUnanswered("an answer broke off")
 	}
 	a.onFirstByte()
-	return a.finishResponse(u, status)
+	return a.finishResponse(u)
 }
 
-// finishResponse ends the attempt unless the response is a stream. A response with a server
-// error is relayed like any other, unless the target fails so many calls that it is at fault
-// itself and the call may be retried.
-func (a *attempt) finishResponse(u *upstreamResponse, status int) (*upstreamResponse, result) {
+// finishResponse ends the attempt unless the response is a stream. A response with a server error is
+// relayed like any other, unless the target fails so many calls that it is at fault itself and the call may
+// be retried. A status that promises that the call has not run is not relayed, as the target does not say so
+// in the header for that.
+func (a *attempt) finishResponse(u *upstreamResponse) (*upstreamResponse, result) {
+	status := u.response.Status()
+	promises := promisesNotRun(status)
 	switch {
 	case u.stream != nil:
-	case status < fasthttp.StatusInternalServerError:
+		return u, result{}
+	case status < fasthttp.StatusInternalServerError && !promises, a.flight == nil && !promises:
 		a.end(balance.Answered)
+		return u, result{}
+	}
+	a.end(balance.Failed)
+	retry := a.call.mayRetry() && a.call.gateway.faulty(u.target)
+	if !retry && !promises {
+		return u, result{}
+	}
+	u.body.Release()
+	a.call.addStep("target %s answers %d", u.target, status)
+	if promises {
+		a.call.gateway.metrics.add("unconfirmed_refusals_total", 1)
+	}
+	a.call.maybeRun = true
+	return nil, result{outcome: core.Unknown, reason: "a target failed", last: !retry}
+}
+
+// promisesNotRun reports whether a status tells callers that their call has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
 	default:
-		a.end(balance.Failed)
-		if a.call.mayRetry() && a.call.gateway.faulty(u.target) {
-			u.body.Release()
-			a.call.addStep("target %s answers %d", u.target, status)
-			return nil, result{outcome: core.Unknown, reason: "a target failed"}
-		}
+		return false
 	}
-	return u, result{}
 }
 
 // handleRefusal ends an attempt whose target reported that it did not run the call.
