internal/balance: give no slack to hosts that know no others yet

Change: while a host knows no other and its settings name one, for the discovery time at most, what accrues of the slack is dropped; from then on it gets its share as before.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -583,6 +583,18 @@
 		}
 	})
 
+	// Guards against the slack of the whole fleet at each of many hosts that start at the same time and do
+	// not know one another yet.
+	It("gets no share of the slack while it is not known how many hosts share it", func() {
+		b := balance.NewRetryBudget(start, ratio, 600, window, 0.5)
+		for at := start; at.Before(start.Add(window)); at = at.Add(step) {
+			b.DropAccrued(at)
+			Expect(b.Available(at)).To(BeZero())
+		}
+		b.SetHosts(300)
+		Expect(b.Available(start.Add(2 * window))).To(BeNumerically(">=", 1))
+	})
+
 	It("does not accumulate tokens while idle", func() {
 		b := balance.NewRetryBudget(start, ratio, 100, window, 0)
 		b.Deposit(start)
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -30,7 +30,7 @@
 	refilledAt time.Time
 }
 
-// NewRetryBudget returns the budget of a host that gets its share of the slack from the given time on. For the
+// NewRetryBudget returns the budget of a host that has run since the given time. For the
 // whole fleet, the budget in any window is ratio times the number of calls, plus slack.
 // Phase is a number from 0 to 1 that differs from host to host.
 func NewRetryBudget(since time.Time, ratio, slack float64, window time.Duration, phase float64) *RetryBudget {
@@ -51,13 +51,12 @@
 	b.hosts = n
 }
 
+// DropAccrued drops the share of the slack that has accrued since it was last used.
+func (b *RetryBudget) DropAccrued(now time.Time) { b.refilledAt = now }
+
 // refill adds the host's share of the slack.
 func (b *RetryBudget) refill(now time.Time) {
-	elapsed := now.Sub(b.refilledAt)
-	if elapsed <= 0 {
-		return
-	}
-	b.add(now, b.slack/float64(b.hosts)*float64(elapsed)/float64(b.window))
+	b.add(now, b.slack/float64(b.hosts)*float64(now.Sub(b.refilledAt))/float64(b.window))
 	b.refilledAt = now
 }
 
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,18 +21,27 @@
 	leavingTTLSeconds = 120
 )
 
-// budget returns the retry budget of a service. It has no share of the slack until the host has had time
-// to discover the others that share it. The caller holds g.mu.
+// budget returns the retry budget of a service. Until the host knows how many hosts share the slack, none
+// of it accrues. The caller holds g.mu.
 func (g *Gateway) budget(service string) *balance.RetryBudget {
 	b := g.budgets[service]
 	if b == nil {
-		b = balance.NewRetryBudget(g.started.Add(discoveryTime), g.settings.RetryRatio, g.settings.RetrySlack, time.Duration(g.settings.RetryWindowSeconds*float64(time.Second)), g.rng.Float64())
+		b = balance.NewRetryBudget(g.started, g.settings.RetryRatio, g.settings.RetrySlack, time.Duration(g.settings.RetryWindowSeconds*float64(time.Second)), g.rng.Float64())
 		g.budgets[service] = b
 	}
-	b.SetHosts(len(g.gossip.View().Members))
+	members := len(g.gossip.View().Members)
+	if now := g.clock.Now(); members == 1 && g.hasOtherSeeds() && now.Sub(g.started) < discoveryTime {
+		b.DropAccrued(now)
+	}
+	b.SetHosts(members)
 	return b
 }
 
+// hasOtherSeeds reports whether the settings name another host.
+func (g *Gateway) hasOtherSeeds() bool {
+	return slices.ContainsFunc(g.settings.Seeds, func(seed string) bool { return seed != g.settings.PeerAddress })
+}
+
 // typicalTime returns the typical processing time of a route's calls, 0 before the first.
 func (g *Gateway) typicalTime(route string) time.Duration {
 	g.mu.Lock()
