internal/gateway: bound what endless responses of targets take of the memory

Targets that send a refusal whose body has no end made hosts exceed their memory: peak 290 MB at hosts of 136 MB (three hosts, 400 requests a second, half of the answers; real processes, code untouched), by which all calls there end.

Cause: the body of a refusal was read whole, up to 8 MB for each call, only to keep the connection; events of up to 1 MB, lists of caches, responses of the store and of other hosts had bounds for one, but none for all together.

Change: bodies of refusals and health checks are dropped as they are read, 64 KB at most. The collector works harder beyond 0.7 of the machine's memory.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/sys/unix"
 
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/gateway"
@@ -58,8 +59,24 @@
 // processor time.
 const gcPercent = 40
 
+// memoryShare is the part of the machine's memory beyond which the garbage collector
+// works as hard as it must.
+const memoryShare = 0.7
+
+// machineMemory returns the memory of the machine in bytes, 0 if the system does not tell.
+func machineMemory() uint64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return info.Totalram * uint64(info.Unit)
+}
+
 func runGateway(ctx context.Context, o *outputs, path string, s gateway.Settings) error {
 	debug.SetGCPercent(gcPercent)
+	if memory := machineMemory(); memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	}
 	sink := logsink.New(o.out)
 	logCtx, stopLogging := context.WithCancel(context.Background())
 	logDone := make(chan error, 1)
--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -41,6 +41,30 @@
 	reserved int
 }
 
+// NewBody returns an empty body whose memory is reserved in m.
+func NewBody(m *MemoryBudget) Body { return Body{budget: m} }
+
+// Append adds bytes to the body. It returns false if the budget is exhausted.
+func (b *Body) Append(p []byte) bool {
+	for cap(b.Bytes)-len(b.Bytes) < len(p) {
+		if !b.grow() {
+			return false
+		}
+	}
+	b.Bytes = append(b.Bytes, p...)
+	return true
+}
+
+// Reset empties the body. It keeps the buffer unless that has a reservation.
+func (b *Body) Reset() {
+	if b.HasReservation() {
+		b.Release()
+		b.Bytes = nil
+		return
+	}
+	b.Bytes = b.Bytes[:0]
+}
+
 // HasReservation reports whether the body has reserved bytes of the budget.
 func (b *Body) HasReservation() bool { return b.reserved > 0 }
 
@@ -74,7 +98,7 @@
 // the budget fails with kind TooLarge.
 func (r *Response) ReadAllWithin(m *MemoryBudget, limit int) (Body, error) {
 	defer r.Close()
-	b := Body{budget: m}
+	b := NewBody(m)
 	for {
 		if len(b.Bytes) > limit || (len(b.Bytes) == cap(b.Bytes) && !b.grow()) {
 			b.Release()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -553,6 +553,17 @@
 	return body, nil
 }
 
+// Discard reads and drops a body of at most limit bytes, and closes the response. A larger body fails
+// with kind TooLarge.
+func (r *Response) Discard(limit int) error {
+	defer r.Close()
+	n, err := io.Copy(io.Discard, io.LimitReader(r, int64(limit)+1))
+	if err == nil && n > int64(limit) {
+		return wrap("discard body", TooLarge, nil)
+	}
+	return err
+}
+
 // Close closes the connection unless the body was read to its end. After the end the
 // connection is already back in the pool or closed.
 func (r *Response) Close() {
--- a/internal/gateway/cachelist.go
+++ b/internal/gateway/cachelist.go
@@ -82,12 +82,13 @@
 	if limit := g.protocol.ReadTargetResponse(&response.Header).Limit; limit != nil && limit.Limited {
 		g.recordLimit(t, sentAt, *limit)
 	}
-	body, err := response.ReadAll(maxCacheListBytes)
+	body, err := response.ReadAllWithin(g.bodyMemory, maxCacheListBytes)
 	if err != nil {
 		return nil, err
 	}
+	defer body.Release()
 	if response.Status() != fasthttp.StatusOK {
 		return nil, errors.Errorf("status %d", response.Status())
 	}
-	return g.protocol.ReadCacheList(body)
+	return g.protocol.ReadCacheList(body.Bytes)
 }
--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -35,7 +35,7 @@
 	return request
 }
 
-// copyHeaders adds the raw header lines of a request to another one, whose names are not normalized.
+// copyHeaders adds the raw header lines of a request to another one, which keeps the spelling of names.
 func copyHeaders(from, to *fasthttp.RequestHeader, protocol Protocol) {
 	dropped := append(connectionOptions(from), hopByHopHeaders...)
 	for line := range bytes.Lines(from.RawHeaders()) {
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -160,7 +160,7 @@
 		return 0, err
 	}
 	headers := g.protocol.ReadTargetResponse(&response.Header)
-	if _, err := response.ReadAll(maxHealthBytes); err != nil {
+	if err := response.Discard(maxHealthBytes); err != nil {
 		return 0, err
 	}
 	switch headers.Instance {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"testing"
 	"testing/iotest"
+
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
 )
 
 // FuzzEvents checks that only complete events are read: the bytes read are a prefix of the
@@ -14,8 +16,8 @@
 	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndat"))
 	f.Add([]byte("\n\n\n: comment\n\ndata\n\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		whole, err := readEvents(newEventReader(bytes.NewReader(stream)))
-		byByte, errByByte := readEvents(newEventReader(iotest.OneByteReader(bytes.NewReader(stream))))
+		whole, err := readEvents(newEventReader(bytes.NewReader(stream), exchange.NewMemoryBudget(maxEventBytes)))
+		byByte, errByByte := readEvents(newEventReader(iotest.OneByteReader(bytes.NewReader(stream)), exchange.NewMemoryBudget(maxEventBytes)))
 		if !bytes.Equal(whole, byByte) || isEOF(err) != isEOF(errByByte) {
 			t.Fatalf("read at once: %q (%v), read byte by byte: %q (%v)", whole, err, byByte, errByByte)
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -131,7 +131,7 @@
 	c.arrivals += arrivalsOf(response)
 	reason := response.Get(headerReason)
 	if outcome != core.Run {
-		if _, err := response.ReadAll(maxBodyBytes); err != nil {
+		if err := response.Discard(maxRefusalBytes); err != nil {
 			c.addStep("the refusal of host %s broke off: %v", host.Host, err)
 		}
 		a.end(balance.Abandoned)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,11 +102,12 @@
 	coordinatorTimeout time.Duration
 
 	callers            *link.Limiter
-	exhaustionLoggedAt atomic.Int64   // Unix nanoseconds
-	targetPool         *exchange.Pool // to targets
-	peerPool           *exchange.Pool // to hosts, for calls
-	bodyMemory         *exchange.MemoryBudget
-	controlPool        *exchange.Pool // to hosts, for control requests
+	exhaustionLoggedAt atomic.Int64           // Unix nanoseconds
+	targetPool         *exchange.Pool         // to targets
+	peerPool           *exchange.Pool         // to hosts, for calls
+	bodyMemory         *exchange.MemoryBudget // long bodies and events of targets
+	controlMemory      *exchange.MemoryBudget // responses of hosts to control requests
+	controlPool        *exchange.Pool         // to hosts, for control requests
 	storePool          *exchange.Pool
 	catalogue          *catalogue.Catalogue
 	follower           *catalogue.Follower
@@ -234,6 +235,7 @@
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
 	g.storePool = exchange.NewPool(g.network)
 	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes)
+	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes)
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
 		catalogue.WithClock(g.clock), catalogue.WithLogger(g.log.WithName("catalogue")), catalogue.WithOnChange(g.configure))
 	g.follower = catalogue.NewFollower(g.catalogue, adapters.NewReader(g.storePool, s.StoreAddress), g.fetchCatalogue, peerGroup{g}, g.clock, g.log.WithName("catalogue"))
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -284,6 +284,7 @@
 	}
 	r.upstream.attempt.end(r.upstream.attempt.resultUnlessCancelled(balance.Silent))
 	r.upstream.response.Close()
+	r.upstream.stream.release()
 	if last == "" || !c.mayRetry() || !c.requireStreamVersion() {
 		return false
 	}
@@ -302,6 +303,7 @@
 	if resumed.upstream.version != c.work.Version {
 		resumed.upstream.attempt.end(balance.Abandoned)
 		resumed.upstream.response.Close()
+		resumed.upstream.stream.release()
 		c.addStep("not resumed: the response does not state the version that began the stream")
 		return false
 	}
@@ -323,6 +325,7 @@
 // Close ends the call, whether or not the stream is complete.
 func (r *relay) Close() error {
 	r.call.forgetRunning()
+	defer func() { r.upstream.stream.release() }()
 	r.upstream.response.Close()
 	if r.ended {
 		r.upstream.attempt.end(balance.Answered)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -63,13 +63,14 @@
 	if err != nil {
 		return err
 	}
-	data, err := response.ReadAll(maxPeerResponseBytes)
+	data, err := response.ReadAllWithin(g.controlMemory, maxPeerResponseBytes)
 	if err != nil {
 		return err
 	}
+	defer data.Release()
 	switch response.Status() {
 	case fasthttp.StatusOK:
-		return json.Unmarshal(data, v)
+		return json.Unmarshal(data.Bytes, v)
 	case fasthttp.StatusNoContent:
 		return nil
 	default:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -26,6 +26,8 @@
 	// the long bodies that are held at once: a part of the memory of the smallest host.
 	maxBodyBytes       = 8 << 20
 	maxBodyMemoryBytes = 24 << 20
+	// maxRefusalBytes bounds the body of a refusal, which is read only to keep its connection.
+	maxRefusalBytes = 64 << 10
 	// The first-byte timeout of a call that may be retried is at least firstByteTimeoutFactor
 	// times the predicted time and firstByteTimeoutShare of the time left, so that a slow
 	// response is not abandoned for none at all.
@@ -414,7 +416,7 @@
 // handleRefusal ends an attempt whose target reported that it did not run the call.
 func (a *attempt) handleRefusal(response *exchange.Response, headers TargetResponse) result {
 	status := response.Status()
-	if _, err := response.ReadAll(maxBodyBytes); err != nil {
+	if err := response.Discard(maxRefusalBytes); err != nil {
 		a.call.addStep("the refusal of target %s broke off: %v", a.choice.Target.ID, err)
 	}
 	a.call.addStep("target %s refuses with %d", a.choice.Target.ID, status)
@@ -442,7 +444,7 @@
 func (a *attempt) newUpstreamResponse(response *exchange.Response, from string) *upstreamResponse {
 	u := &upstreamResponse{response: response, target: from, attempt: a}
 	if a.call.isStream() && response.Status() == fasthttp.StatusOK {
-		u.stream = newEventReader(response)
+		u.stream = newEventReader(response, a.call.gateway.bodyMemory)
 	}
 	return u
 }
--- a/internal/link/limiter_test.go
+++ b/internal/link/limiter_test.go
@@ -33,8 +33,8 @@
 }
 
 // get sends a request and returns the status, 0 if the connection was closed.
-func (c *client) get(path string) int {
-	_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path)
+func (c *client) get() int {
+	_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	return c.status()
 }
 
@@ -89,7 +89,7 @@
 		slow := make(chan struct{})
 		l, address := serve(slow, link.WithIdleTimeout(300*time.Millisecond))
 		silent, used, busy := dial(address), dial(address), dial(address)
-		Expect(used.get("/")).To(Equal(http.StatusOK))
+		Expect(used.get()).To(Equal(http.StatusOK))
 		_, err := fmt.Fprint(busy, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(silent.isClosed()).To(BeTrue())
@@ -104,13 +104,13 @@
 	It("applies other timeouts to open connections", func() {
 		l, address := serve(nil, link.WithIdleTimeout(time.Hour))
 		idle, slow := dial(address), dial(address)
-		Expect(idle.get("/")).To(Equal(http.StatusOK))
-		Expect(slow.get("/")).To(Equal(http.StatusOK))
+		Expect(idle.get()).To(Equal(http.StatusOK))
+		Expect(slow.get()).To(Equal(http.StatusOK))
 		l.SetTimeouts(time.Hour, 200*time.Millisecond)
 		_, err := fmt.Fprint(slow, "GET / HT")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(slow.status()).To(BeElementOf(http.StatusRequestTimeout, http.StatusBadRequest)) // as the library's default is
-		Expect(idle.get("/")).To(Equal(http.StatusOK))
+		Expect(idle.get()).To(Equal(http.StatusOK))
 		l.SetTimeouts(200*time.Millisecond, 0)
 		Expect(idle.isClosed()).To(BeTrue())
 	})
@@ -122,19 +122,19 @@
 		_, err := fmt.Fprint(busy, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
 		Expect(err).NotTo(HaveOccurred())
 		first, second := dial(address), dial(address)
-		Expect(first.get("/")).To(Equal(http.StatusOK))
-		Expect(second.get("/")).To(Equal(http.StatusOK))
-		Expect(first.get("/")).To(Equal(http.StatusOK))
+		Expect(first.get()).To(Equal(http.StatusOK))
+		Expect(second.get()).To(Equal(http.StatusOK))
+		Expect(first.get()).To(Equal(http.StatusOK))
 		third := dial(address)
-		Expect(third.get("/")).To(Equal(http.StatusOK))
+		Expect(third.get()).To(Equal(http.StatusOK))
 		Expect(second.isClosed()).To(BeTrue())
-		Expect(first.get("/")).To(Equal(http.StatusOK))
+		Expect(first.get()).To(Equal(http.StatusOK))
 		for _, c := range []*client{first, third} {
 			_, err := fmt.Fprint(c, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Eventually(l.Idle).Should(BeZero())
-		Expect(dial(address).get("/")).To(Equal(0), "no connection is idle")
+		Expect(dial(address).get()).To(Equal(0), "no connection is idle")
 		close(slow)
 		for _, c := range []*client{busy, first, third} {
 			Expect(c.status()).To(Equal(http.StatusOK))
@@ -156,7 +156,7 @@
 			c, err := net.Dial("tcp", address)
 			Expect(err).NotTo(HaveOccurred())
 			k := &client{Conn: c, reader: bufio.NewReader(c)}
-			status := k.get("/")
+			status := k.get()
 			Expect(status).To(BeElementOf(0, http.StatusOK))
 			if status == http.StatusOK {
 				answered++
