--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GINKGO_VERSION := v2.34.0
 BIN := $(CURDIR)/bin
 
-.PHONY: demo test lint format build fuzz bench clean
+.PHONY: demo test soak lint format build fuzz bench clean
 
 demo: build
 	$(BIN)/sequoiarack demo
@@ -12,6 +12,11 @@
 	go vet ./...
 	$(BIN)/ginkgo run -r --race --randomize-all --seed 1 --no-color --timeout 20m $(GINKGO_FLAGS)
 
+# Plays random faults against hosts that run as processes: SOAK_SEEDS=FIRST-LAST,
+# SOAK_SECONDS for each.
+soak: build $(BIN)/ginkgo
+	$(BIN)/ginkgo run --tags soak -v --no-color --seed 1 --timeout 80m ./platform/soak
+
 build:
 	go build -o $(BIN)/ ./cmd/...
 
