internal/gateway: tell forwarded calls from control requests by their header

Cause: requests between hosts were told apart by path alone, and a forwarded call keeps the path of its caller.

Change: a request that states the hosts it has passed is a forwarded call, whatever its path; control requests never state them.

Test: "are forwarded whatever their path"; on the code before /peer/news got 502 in place of 200.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -237,6 +237,8 @@
 		return
 	}
 	switch target := string(ctx.RequestURI()); {
+	case len(ctx.Request.Header.Peek(core.HeaderPassed)) > 0: // whatever its path
+		g.serveForwardedCall(ctx)
 	case target == pathPeerItems:
 		g.serveItems(ctx)
 	case target == pathPeerUpdate:
@@ -244,7 +246,7 @@
 	case strings.HasPrefix(target, pathPeerCatalogue):
 		g.serveCatalogue(ctx)
 	default:
-		g.serveForwardedCall(ctx)
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
