--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
@@ -30,7 +31,7 @@
 	return &ffcli.Command{
 		Name: "gateway", ShortUsage: "sequoiarack gateway --settings FILE [flags]", ShortHelp: "run an entry host that reads its routes from a platform's store",
 		LongHelp: "Serves the routes in the platform's store. SIGTERM stops the host gracefully;\n" +
-			"SIGHUP reloads the settings.",
+			"SIGHUP reloads the settings, and so does a change of the file.",
 		FlagSet: set,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
@@ -100,11 +101,19 @@
 	defer stop()
 	done := make(chan error, 1)
 	go func() { done <- g.Run(runCtx) }()
+	file := newSettingsFile(path)
+	poll := time.NewTicker(settingsPollInterval)
+	defer poll.Stop()
 	for {
 		select {
 		case err := <-done:
 			return err
+		case <-poll.C:
+			if file.changed() {
+				reload(log, g, path)
+			}
 		case <-reloads:
+			file.changed()
 			reload(log, g, path)
 		case <-ctx.Done():
 			g.Drain()
@@ -113,6 +122,34 @@
 	}
 }
 
+// settingsPollInterval is the interval at which a host looks whether its settings file has changed, which
+// platforms may do without a signal.
+const settingsPollInterval = time.Second
+
+// settingsFile is the settings file as it was last seen.
+type settingsFile struct {
+	path string
+	last os.FileInfo
+}
+
+func newSettingsFile(path string) *settingsFile {
+	f := &settingsFile{path: path}
+	f.changed()
+	return f
+}
+
+// changed reports whether the file is another one than at the last call. A file that cannot be read at
+// the moment is unchanged.
+func (f *settingsFile) changed() bool {
+	info, err := os.Stat(f.path)
+	if err != nil {
+		return false
+	}
+	last := f.last
+	f.last = info
+	return last == nil || !os.SameFile(last, info) || !last.ModTime().Equal(info.ModTime()) || last.Size() != info.Size()
+}
+
 // reload loads the settings again. If they are invalid, the current ones stay in
 // force.
 func reload(log logr.Logger, g *gateway.Gateway, path string) {
