internal/exchange: take no response without an ID for one to a request that has it

The log of the host: sent, "refuses with 503" after 61 ms (the time of the work), sent again, answered.

Cause: on a new connection a response without the ID of the request counted as its response. A faulty target that writes a refusal without an ID before its answer made the host send the booking again.

Change: a response without the ID of a request that has one ends the attempt as one that may have run, on new connections too.

--- a/internal/exchange/copies_test.go
+++ b/internal/exchange/copies_test.go
@@ -173,6 +173,23 @@
 		Entry("by a number of its own", exchange.WithNumbers(numberHeader)),
 	)
 
+	// Guards against a booking that runs twice, as a refusal without an ID passes for the response to the
+	// first request on a connection.
+	It("takes no response without the ID for the response to a request that has one", func() {
+		peer := newCopyingPeer()
+		DeferCleanup(peer.listener.Close)
+		pool := exchange.NewPool(link.NewSystem(""), exchange.WithEchoHeader(idHeader))
+		DeferCleanup(pool.Close)
+		request := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(request)
+		request.SetRequestURI("http://peer/")
+		request.Header.Set(idHeader, "a")
+		request.Header.Set(sendHeader, "n")
+		peer.plan("n", copyPlan{Status: fasthttp.StatusServiceUnavailable, Unidentified: true})
+		_, err := pool.Do(context.Background(), peer.listener.Addr().String(), request)
+		Expect(kindOf(err)).To(Equal(exchange.Unanswered))
+	})
+
 	// Guards against one connection for each request, which costs the peer time.
 	It("reuses a connection for requests with other IDs, and opens one for each repeat", func() {
 		peer := newCopyingPeer()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -181,10 +181,7 @@
 			return err
 		}
 		if r.pool.unidentified(request, &r.Header) {
-			if r.conn.used {
-				return errors.New("an answer on a kept connection names no request")
-			}
-			r.noReuse = true // a copy of it could pass for the response to a request without an ID
+			return errors.New("an answer names no request")
 		}
 		if r.pool.matches(request, &r.Header) {
 			if _, empty := r.body.(noBody); empty {
@@ -209,14 +206,14 @@
 	return err
 }
 
-// unidentified reports whether a response lacks the header of the request that it should echo.
-// On a kept connection, such a response may be one to an earlier request.
+// unidentified reports whether a response lacks the header of the request that it should echo. Such a
+// response may be one to another request, and a refusal without the header no proof.
 func (p *Pool) unidentified(request *fasthttp.Request, response *fasthttp.ResponseHeader) bool {
 	return p.echoHeader != "" && !p.numbered && len(request.Header.Peek(p.echoHeader)) > 0 && len(response.Peek(p.echoHeader)) == 0
 }
 
-// matches reports whether the response header echoes the value of the request. A response
-// without the header counts as a match on a new connection.
+// matches reports whether the response header echoes the value of the request. A response without the
+// header matches a request without it, and any request that the pool has numbered.
 func (p *Pool) matches(request *fasthttp.Request, response *fasthttp.ResponseHeader) bool {
 	if p.echoHeader == "" {
 		return true
