--- a/cmd/sequoiarack/cmd/settingsfile_test.go
+++ b/cmd/sequoiarack/cmd/settingsfile_test.go
@@ -41,7 +41,8 @@
 		t.Error("a missing file must count as unchanged")
 	}
 	write("{} ", start.Add(time.Minute))
-	if file.changed() && file.changed() {
+	file.changed() // it may be a new file
+	if file.changed() {
 		t.Error("a file that is back must count as changed once at most")
 	}
 }
