internal/exchange: halve the memory for long bodies, and reserve it earlier

Cause: 24 MB of reserved buffers, the copies of buffers that grow, the first 64 KB of each of some hundred calls, which needed no reservation, and the collector's 40%.

Change: 12 MB for long bodies and events, and only the first 16 KB of each are free.

Also serve: its pools take the IDs of requests as reason not to use a connection again, but leave it to the attempt to compare them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,8 +119,8 @@
 	}
 	d.callerLimiter = link.NewLimiter(d.clock, link.WithMaxConns(link.Descriptors(0)/callerDescriptorShare), link.WithIdleTimeout(idleTimeout))
 	d.incarnation = d.clock.Now().UnixMilli()
-	d.targetPool = exchange.NewPool(d.network, exchange.WithEchoHeader(core.HeaderRequestID))
-	d.forwardPool = exchange.NewPool(d.network, exchange.WithEchoHeader(core.HeaderRequestID))
+	d.targetPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID))
+	d.forwardPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID))
 	d.controlBytes = link.NewCounter(d.network)
 	d.controlPool = exchange.NewPool(d.controlBytes)
 	d.targetClient = attempt.NewClient(d.targetPool)
--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -9,7 +9,7 @@
 
 // unreservedBodyBytes is the part of each body that needs no reservation: most
 // responses are smaller, and the number of connections bounds how many there are.
-const unreservedBodyBytes = 64 << 10
+const unreservedBodyBytes = 16 << 10
 
 // MemoryBudget limits the total memory of the large bodies that are buffered at the same
 // time. It is safe for concurrent use.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -39,6 +39,7 @@
 	maxIdle        int
 	maxIdleTotal   int
 	echoHeader     string // header that a response copies from its request
+	onceHeader     string // header whose values each connection carries once
 	numbered       bool   // each request gets a new value of echoHeader
 	closeDelimited bool
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
@@ -63,8 +64,14 @@
 
 // WithEchoHeader sets a header that the peer copies from the request into its response.
 // A response with another value belongs to an earlier exchange and is discarded. As a
-// response may come twice, a connection carries each value once, and one request without it.
-func WithEchoHeader(header string) Option { return func(p *Pool) { p.echoHeader = header } }
+// response may come twice, WithOnceHeader holds as well.
+func WithEchoHeader(header string) Option {
+	return func(p *Pool) { p.echoHeader, p.onceHeader = header, header }
+}
+
+// WithOnceHeader makes each connection carry each value of a header once, and one request without it, so
+// that a second copy of a response cannot pass for the response to a repeat of its request.
+func WithOnceHeader(header string) Option { return func(p *Pool) { p.onceHeader = header } }
 
 // WithNumbers makes the pool number its requests in a header that the peer copies into its response. A
 // response with another number belongs to another request and is discarded. One without a number is
@@ -96,7 +103,7 @@
 	lastUsed time.Time
 	used     bool          // by an earlier exchange
 	idleTime time.Duration // maximum time between two exchanges
-	carried  []requestID   // of the requests sent so far, in a pool with an echo header
+	carried  []requestID   // of the requests sent so far, in a pool with a once header
 }
 
 // requestID is the hash of the ID of a request, which the response repeats.
@@ -104,7 +111,7 @@
 
 // idOf returns the ID of a request, or that of all requests without one.
 func (p *Pool) idOf(request *fasthttp.Request) requestID {
-	return requestID(xxhash.Sum64(request.Header.Peek(p.echoHeader)))
+	return requestID(xxhash.Sum64(request.Header.Peek(p.onceHeader)))
 }
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
@@ -144,7 +151,7 @@
 		p.put(c)
 		return nil, wrap(op, Withdrawn, err)
 	}
-	if p.echoHeader != "" && !p.numbered {
+	if p.onceHeader != "" {
 		c.carried = append(c.carried, id)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -25,7 +25,7 @@
 	// maxBodyBytes bounds the body of a response that is no stream, and maxBodyMemoryBytes
 	// the long bodies that are held at once: a part of the memory of the smallest host.
 	maxBodyBytes       = 8 << 20
-	maxBodyMemoryBytes = 24 << 20
+	maxBodyMemoryBytes = 12 << 20
 	// maxRefusalBytes bounds the body of a refusal, which is read only to keep its connection.
 	maxRefusalBytes = 64 << 10
 	// The first-byte timeout of a call that may be retried is at least firstByteTimeoutFactor
