internal/catalogue: claim a revision only with every change up to it

Cause: hosts adopt the revision of an update, so an update must carry all that its recipients may lack. It carried what was new to the reading host instead, by what that host knew from any source: - a reader that the target itself had told of its leaving left the entry that says so out; - a reader that did not know a key left its removal out, although recipients that had read the store by themselves knew the key (removed between the pages of a full read, or written and removed since the reader's last read); - a host applied late updates of before its own revision, which brought removed keys back.

Now the reader decides by revisions alone what to send: every removal, and every write that is no mere repetition of what the entry had at the revision from which the update starts. An update from a full read has all keys. A host ignores writes that its own revision covers.

Ruled out: sending every event, as targets write some hundred a second.

Hosts of the build before ignore the new fields and still get the removals that the reader knew.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -43,6 +43,9 @@
 }
 
 const (
+	// maxRemovals is the number of remembered removals from which on those that the revision of this
+	// host covers are pruned.
+	maxRemovals = 4096
 	// maxDepartures is the number of departures from which on those older than
 	// drainingRetention are pruned.
 	maxDepartures = 4096
@@ -147,30 +150,54 @@
 	c.storeRecoveredAt = c.clock.Now()
 }
 
-// Apply applies the changes of the store up to a revision and returns those that bring
-// new information. Most do not: targets keep writing reports that only repeat the last one.
+// Apply applies the changes of the store up to a revision and returns those that are new to this
+// host. Most are not: targets keep writing reports that only repeat the last one.
 func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
-	return c.apply(events, revision, func(keyvalue.Event) bool { return false })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.apply(events, revision)
 }
 
-// ApplyFromStore applies changes that this host read from the store itself. Unlike Apply,
-// it also returns changes that were known already: they came from other hosts, which may
-// not have sent them to every peer.
-func (c *Catalogue) ApplyFromStore(events []keyvalue.Event, revision int64) []keyvalue.Event {
-	return c.apply(events, revision, func(e keyvalue.Event) bool { return c.known(e.Entry) })
+// ApplyFromStore applies all changes of the store from the revision after to another one. Unlike
+// Apply, it returns those that hosts with all changes up to after may lack, whatever this host knows
+// by other ways.
+func (c *Catalogue) ApplyFromStore(events []keyvalue.Event, after, revision int64) []keyvalue.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var changes []keyvalue.Event
+	for _, e := range events {
+		if c.isUpdate(e, after) {
+			changes = append(changes, e)
+		}
+	}
+	c.apply(events, revision)
+	return changes
 }
 
+// isUpdate reports whether a change of the store brings information to hosts that have all changes up
+// to the revision after. Only the reports of targets may bring none.
+func (c *Catalogue) isUpdate(e keyvalue.Event, after int64) bool {
+	older, known := c.entries[e.Key]
+	if e.Deleted || !known || older.ModRevision > after {
+		return true
+	}
+	decoded, err := c.decoder.Decode(e.Key, e.Value)
+	before, olderErr := c.decoder.Decode(e.Key, older.Value)
+	return decoded.Kind != TargetReport || err != nil || olderErr != nil || decoded.Report.isUpdateOf(before.Report)
+}
+
+// isCovered reports whether the revision that this host has covers a change, so that the change is not
+// new, though its key may be gone.
+func (c *Catalogue) isCovered(revision int64) bool { return revision <= c.Snapshot().Revision }
+
 // known reports whether this revision of the key, or a later one, was applied before, as
 // a write or as a removal.
 func (c *Catalogue) known(e keyvalue.Entry) bool {
-	return c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision
+	return c.isCovered(e.ModRevision) || c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision
 }
 
-// apply applies events and returns those that bring new information or for which
-// alwaysReturn holds.
-func (c *Catalogue) apply(events []keyvalue.Event, revision int64, alwaysReturn func(keyvalue.Event) bool) []keyvalue.Event {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// apply applies events and returns those that are new to this host.
+func (c *Catalogue) apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
 	if len(events) == 0 {
 		c.advance(revision)
 		return nil
@@ -178,13 +205,7 @@
 	next := c.nextSnapshot(revision)
 	var changes []keyvalue.Event
 	for _, e := range events {
-		include := alwaysReturn(e)
-		if e.Deleted {
-			include = c.remove(next, e.Key, e.ModRevision) || include
-		} else {
-			include = c.put(next, e.Entry) || include
-		}
-		if include {
+		if e.Deleted && c.remove(next, e.Key, e.ModRevision) || !e.Deleted && c.put(next, e.Entry) {
 			changes = append(changes, e)
 		}
 	}
@@ -193,56 +214,63 @@
 }
 
 // Replace applies a full read of the store at a revision: entries that are not in it were
-// removed. A read older than the current revision is ignored. Replace returns the changes
-// since the previous revision; like ApplyFromStore, it includes those that were already
-// known from other hosts.
-func (c *Catalogue) Replace(entries []keyvalue.Entry, revision int64) []keyvalue.Event {
+// removed. A read older than the current revision is ignored. Replace returns the update for hosts that
+// have all changes up to the revision after.
+func (c *Catalogue) Replace(entries []keyvalue.Entry, after, revision int64) Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.Snapshot().Revision {
-		return nil
-	}
+	u := Update{After: after, Revision: revision, FullRead: true}
 	keys := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		keys[e.Key] = true
+		u.Keys = append(u.Keys, e.Key)
+		if change := (keyvalue.Event{Entry: e}); e.ModRevision > after && c.isUpdate(change, after) {
+			u.Events = append(u.Events, change)
+		}
+	}
+	for key, at := range c.removed { // for hosts of builds that do not go by the keys
+		if at > after && !keys[key] {
+			u.Events = append(u.Events, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: at}, Deleted: true})
+		}
 	}
-	return c.replaceAll(entries, keys, revision)
+	for _, key := range c.missing(keys, revision) {
+		u.Events = append(u.Events, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true})
+	}
+	if revision >= c.Snapshot().Revision {
+		c.replaceAll(entries, keys, revision)
+	}
+	return u
 }
 
-// replaceAll applies entries at a revision and removes every known entry whose key is not
-// in keys, the set of all keys at that revision. It returns the changes since the previous
-// revision.
-func (c *Catalogue) replaceAll(entries []keyvalue.Entry, keys map[string]bool, revision int64) []keyvalue.Event {
-	next, before := c.nextSnapshot(revision), c.Snapshot().Revision
-	var changes []keyvalue.Event
-	for _, e := range entries {
-		fromPeer := e.ModRevision > before && c.known(e)
-		if c.put(next, e) || fromPeer {
-			changes = append(changes, keyvalue.Event{Entry: e})
+// missing returns the keys of known entries that a full read at a revision lacks and would have.
+func (c *Catalogue) missing(keys map[string]bool, revision int64) []string {
+	var out []string
+	for key, e := range c.entries {
+		if !keys[key] && e.ModRevision <= revision && !c.awaitsConfirmation(key, revision) {
+			out = append(out, key)
 		}
 	}
-	for key, at := range c.removed {
-		if at > before && !keys[key] {
-			changes = append(changes, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: at}, Deleted: true})
-		}
+	return out
+}
+
+// replaceAll applies entries at a revision and removes every known entry whose key is not
+// in keys, the set of all keys at that revision.
+func (c *Catalogue) replaceAll(entries []keyvalue.Entry, keys map[string]bool, revision int64) {
+	next := c.nextSnapshot(revision)
+	for _, e := range entries {
+		c.put(next, e)
 	}
-	for key := range c.entries {
-		if keys[key] || c.awaitsConfirmation(key, revision, before) {
-			continue
-		}
-		if c.remove(next, key, revision) {
-			changes = append(changes, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true})
-		}
+	for _, key := range c.missing(keys, revision) {
+		c.remove(next, key, revision)
 	}
 	c.publish(next)
-	return changes
 }
 
 // awaitsConfirmation reports whether the entry of an evacuation stays in force for a while
 // although a full read in a new era of the store lacks it.
-func (c *Catalogue) awaitsConfirmation(key string, revision, before int64) bool {
+func (c *Catalogue) awaitsConfirmation(key string, revision int64) bool {
 	era, _ := keyvalue.SplitRevision(revision)
-	knownEra, _ := keyvalue.SplitRevision(before)
+	knownEra, _ := keyvalue.SplitRevision(c.Snapshot().Revision)
 	decoded, _ := c.decoder.Decode(key, c.entries[key].Value) // the kind is also set with an error
 	if decoded.Kind != Evacuation || era <= knownEra {
 		return false
@@ -293,6 +321,27 @@
 	c.replaceAll(d.Entries, keys, d.Revision)
 }
 
+// ApplyFullRead applies the update that another host derived from a full read of the store. This host
+// must have all changes up to u.After.
+func (c *Catalogue) ApplyFullRead(u Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u.Revision <= c.Snapshot().Revision {
+		return
+	}
+	keys := make(map[string]bool, len(u.Keys))
+	for _, key := range u.Keys {
+		keys[key] = true
+	}
+	var entries []keyvalue.Entry
+	for _, e := range u.Events {
+		if !e.Deleted {
+			entries = append(entries, e.Entry)
+		}
+	}
+	c.replaceAll(entries, keys, u.Revision)
+}
+
 // MarkDraining marks the target process with this incarnation as draining, because the
 // process announced it. Later reports of the same process in the store do not undo the
 // mark. MarkDraining reports whether the state of a known target has changed.
@@ -389,6 +438,9 @@
 
 func (c *Catalogue) publish(s *Snapshot) {
 	c.storeRecoveredAt = time.Time{}
+	if len(c.removed) > maxRemovals {
+		maps.DeleteFunc(c.removed, func(_ string, at int64) bool { return at <= s.Revision })
+	}
 	c.snapshot.Store(s)
 	c.onChange(s)
 }
@@ -483,15 +535,18 @@
 	return !known || !old.MissingSince.IsZero() || r.isUpdateOf(old.Report)
 }
 
-// remove applies the removal of a key at a revision. It reports whether an entry with an
-// older revision was removed.
+// remove applies the removal of a key at a revision. It reports whether an entry that is not newer
+// was removed.
 func (c *Catalogue) remove(next *Snapshot, key string, revision int64) bool {
 	e, known := c.entries[key]
-	if !known || e.ModRevision >= revision {
+	if known && e.ModRevision > revision {
+		return false
+	}
+	c.removed[key] = max(c.removed[key], revision) // an older write may arrive later
+	if !known {
 		return false
 	}
 	delete(c.entries, key)
-	c.removed[key] = revision
 	decoded, _ := c.decoder.Decode(key, e.Value)
 	switch decoded.Kind {
 	case TargetReport:
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -165,7 +165,7 @@
 					known.StoreRecovered()
 				}
 				if s.Replace {
-					known.Replace(s.entries(), s.Revision)
+					known.Replace(s.entries(), 0, s.Revision)
 				} else {
 					known.Apply(s.events(), s.Revision)
 				}
@@ -179,7 +179,7 @@
 			for _, s := range c.Steps {
 				manual.advance(time.Duration(s.AfterMs) * time.Millisecond)
 				if s.Replace {
-					source.Replace(s.entries(), s.Revision)
+					source.Replace(s.entries(), 0, s.Revision)
 				} else {
 					source.Apply(s.events(), s.Revision)
 				}
@@ -253,7 +253,7 @@
 		group := readerGroup{sent: make(chan catalogue.Update, 8)}
 		regions := map[string]string{"n1": "north"}
 		own, peer := catalogue.New(testDecoder{}, regions), catalogue.New(testDecoder{}, regions)
-		peer.Replace(store.fullRead.Entries, store.fullRead.Revision)
+		peer.Replace(store.fullRead.Entries, 0, store.fullRead.Revision)
 		noPeer := func(context.Context, int64) (catalogue.Difference, error) {
 			return catalogue.Difference{}, errors.New("none")
 		}
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -47,6 +47,10 @@
 	After    int64
 	Revision int64
 	Events   []keyvalue.Event
+	// FullRead is set on an update from a full read. Keys are all keys of the store then; all others were
+	// removed, of which Events has only those that the reading host knew.
+	FullRead bool     `json:",omitempty"`
+	Keys     []string `json:",omitempty"`
 	// StoreRecovered is set on the first update after an outage of the store.
 	StoreRecovered bool `json:"Returned"`
 	// Partial means that there may be further changes that the update does not carry. After
@@ -158,7 +162,11 @@
 		f.catalogue.Apply(u.Events, 0)
 		return
 	}
-	f.catalogue.Apply(u.Events, u.Revision)
+	if u.FullRead {
+		f.catalogue.ApplyFullRead(u)
+	} else {
+		f.catalogue.Apply(u.Events, u.Revision)
+	}
 	f.recordContact(asOf)
 	select {
 	case f.updated <- struct{}{}:
@@ -208,6 +216,7 @@
 func (f *Follower) readAll(ctx context.Context, recovering bool) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	after := f.catalogue.Snapshot().Revision
 	page, err := f.reader.Read(ctx)
 	if err != nil {
 		return err
@@ -215,12 +224,12 @@
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
-	after := f.catalogue.Snapshot().Revision
-	changes := f.catalogue.Replace(page.Entries, page.Revision)
+	update := f.catalogue.Replace(page.Entries, after, page.Revision)
 	if after == 0 {
-		after, changes = page.Revision, nil // hosts with an older revision read the store themselves
+		update = Update{After: page.Revision, Revision: page.Revision} // hosts with an older revision read the store themselves
 	}
-	f.broadcast(Update{After: after, Revision: page.Revision, Events: changes, StoreRecovered: recovering})
+	update.StoreRecovered = recovering
+	f.broadcast(update)
 	return nil
 }
 
@@ -235,7 +244,7 @@
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
-	f.broadcast(Update{After: after, Revision: revision, Events: f.catalogue.ApplyFromStore(events, revision), StoreRecovered: recovering})
+	f.broadcast(Update{After: after, Revision: revision, Events: f.catalogue.ApplyFromStore(events, after, revision), StoreRecovered: recovering})
 	return nil
 }
 
