internal/gateway: pass no call on by an older configuration than that of the receiver

What callers saw (CONFIG, came back older): calls to one host were handled by a new version and, more than 250 ms later, by an older one again.

Cause: a call that is passed on to another host was routed by the configuration of that host where it was newer. The host that passed it on did not learn of it, and handled the next calls by its own, older one until its next update: 0.2 to 2.5 s where updates are late or lost, for whatever reason.

A host now refuses, as not run, a forwarded call of a host with an older configuration, and says its version. The sender fetches that configuration from it (once for all its calls), goes by it from then on, and routes the call anew. So no target sees the effect of a version through a host that lacks it. A host that is sent a call of a newer version refuses it as before, and now also fetches the configuration from the sender at once.

Ruled out: routing by the sender's version, as the receiver would go back itself; the version in the response, which comes after the effect (a first token may take seconds).

Side by side: hosts of the build before do not say that they catch up, and their calls are routed as before; they refuse calls of newer hosts as before.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -105,6 +105,8 @@
 	// unconfirmed holds when a restored store was found to lack the entry of an evacuation,
 	// keyed by entry key.
 	unconfirmed map[string]time.Time
+	// configuration is the entry of the configuration in force.
+	configuration keyvalue.Entry
 	// storeRecoveredAt is when the store answered again after an outage. It is reset once
 	// the next result of the store is applied: entries that are removed in that result may
 	// have expired during the outage.
@@ -282,6 +284,13 @@
 	return true
 }
 
+// Configuration returns the write of the configuration in force, or false if there is none.
+func (c *Catalogue) Configuration() (keyvalue.Event, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return keyvalue.Event{Entry: c.configuration}, c.configuration.Key != ""
+}
+
 // Difference is the set of changes that one host sends to another with an older revision.
 type Difference struct {
 	Revision int64
@@ -471,7 +480,7 @@
 			c.log.Info("Ignored an older configuration.", "Version", decoded.Document.Version, "InForce", next.Table.Version(), "Revision", e.ModRevision)
 			return false
 		}
-		c.applyConfiguration(next, decoded.Document, e.ModRevision)
+		c.applyConfiguration(next, decoded.Document, e)
 	case TargetReport:
 		return c.applyReport(next, decoded.Report, e.ModRevision)
 	case Evacuation:
@@ -491,7 +500,7 @@
 
 // applyConfiguration adopts a configuration if it is valid and its version is higher than
 // the current one.
-func (c *Catalogue) applyConfiguration(next *Snapshot, d route.Document, revision int64) {
+func (c *Catalogue) applyConfiguration(next *Snapshot, d route.Document, e keyvalue.Entry) {
 	if next.Table != nil && d.Version <= next.Table.Version() {
 		return
 	}
@@ -500,8 +509,8 @@
 		c.log.Error(err, "Rejected an invalid configuration; the previous one stays in force.", "Version", d.Version)
 		return
 	}
-	next.Table = table
-	c.log.Info("A configuration is in force.", "Version", d.Version, "Revision", revision, "Routes", table.Routes())
+	next.Table, c.configuration = table, e
+	c.log.Info("A configuration is in force.", "Version", d.Version, "Revision", e.ModRevision, "Routes", table.Routes())
 }
 
 // applyReport applies the report of a target, written at a revision, unless it is older than the
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -93,6 +93,7 @@
 	h.Set(core.HeaderPassed, core.Hops(nil).Append(c.gateway.settings.Region, c.gateway.settings.Host).String())
 	h.Set(core.HeaderVersion, strconv.FormatUint(c.version, 10))
 	h.Set(headerArrivals, strconv.Itoa(c.arrivals))
+	h.Set(headerCatchesUp, "1")
 	if c.spilled {
 		h.Set(headerSpilled, "1")
 	}
@@ -141,6 +142,10 @@
 			c.retryRegion(host.Region) // other hosts of the region may have the configuration
 			return nil, result{outcome: outcome, reason: reason}
 		}
+		if outcome == core.NotRun && len(response.Get(headerNewer)) > 0 {
+			c.retryHost(host)
+			return nil, c.catchUp(host, response)
+		}
 		if outcome == core.NotRun && len(response.Get(headerNoPath)) > 0 {
 			c.gateway.avoidHost(host.Host, pathlessPause)
 			c.retryRegion(host.Region)
@@ -181,6 +186,12 @@
 	return 1
 }
 
+// retryHost lets the call go to a host that has not taken it up once more.
+func (c *activeCall) retryHost(host member.Info) {
+	c.retryRegion(host.Region)
+	c.triedNeighbours = slices.DeleteFunc(c.triedNeighbours, func(h string) bool { return h == host.Host })
+}
+
 // retryRegion lets the call go to another host of a region.
 func (c *activeCall) retryRegion(region string) {
 	c.triedRegions = slices.DeleteFunc(c.triedRegions, func(r string) bool { return r == region })
@@ -243,6 +254,8 @@
 		g.serveItems(ctx)
 	case target == pathPeerUpdate:
 		g.serveUpdate(ctx)
+	case target == pathPeerConfiguration:
+		g.serveConfiguration(ctx)
 	case strings.HasPrefix(target, pathPeerCatalogue):
 		g.serveCatalogue(ctx)
 	default:
@@ -265,10 +278,14 @@
 	}
 	senderVersion, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
 	if err != nil || senderVersion > c.version {
+		g.noteNewerHost(passed, senderVersion)
 		ctx.Response.Header.Set(headerOutdated, "1")
 		g.refuseForwardedCall(ctx, "the host has an older configuration than the sender")
 		return
 	}
+	if g.refuseOlderSender(ctx, senderVersion, c.version) {
+		return
+	}
 	c.acceptedAt = c.acceptedAt.Add(-time.Duration(atoi(string(h.Peek(headerAge)))) * time.Millisecond)
 	if left := atoi(string(h.Peek(headerRemaining))); left > 0 {
 		c.deadline = g.clock.Now().Add(time.Duration(left) * time.Millisecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 //	members.go      live hosts, readiness and the directory for callers
 //	standstill.go   times at which the host or its machine stood still
 //	paths.go        paths of hosts to the targets of their region
+//	newer.go        configurations that another host has before this one
 //	updates.go      store updates that one host reads for its data centre
 //	peers.go        requests between hosts
 //	observe.go      metrics, state dump and the log line of a call
@@ -40,6 +41,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
@@ -117,6 +119,7 @@
 	suspectedCrashes   *ring.Queue[suspectedCrash]
 	clearances         *ring.Queue[dueClearance]
 	updates            *ring.Queue[catalogue.Update]
+	newerHosts         *ring.Queue[newerHost]
 	doubtsRaised       chan struct{} // wakes checkHealth
 	pathsSuspected     chan struct{} // wakes probePaths
 	messageConn        net.PacketConn
@@ -156,13 +159,15 @@
 	streamReplies    replies[streamReply]
 	messageAddresses sync.Map // *net.UDPAddr by peer address
 	storeReaders     atomic.Pointer[storeReaders]
-	leaving          atomic.Bool
-	drain            atomic.Pointer[drainPeriod] // nil before Drain
-	messageCounter   atomic.Uint64               // of datagrams sent
-	partItems        atomic.Int64                // items posted under keys of this process
-	regionTurn       int                         // of reports to other regions; only sendLoadReports uses it
-	inFlight         atomic.Int64
-	stop             context.CancelFunc
+	// configurationFetches joins the requests of calls for a newer configuration.
+	configurationFetches singleflight.Group
+	leaving              atomic.Bool
+	drain                atomic.Pointer[drainPeriod] // nil before Drain
+	messageCounter       atomic.Uint64               // of datagrams sent
+	partItems            atomic.Int64                // items posted under keys of this process
+	regionTurn           int                         // of reports to other regions; only sendLoadReports uses it
+	inFlight             atomic.Int64
+	stop                 context.CancelFunc
 }
 
 // drainPeriod is the time of a graceful stop. Calls are accepted until noticeEnd; the process exits
@@ -214,7 +219,7 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, sinceBoot: clock.SinceBoot, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
@@ -304,6 +309,7 @@
 	group.Go("store follower", g.follower.FollowStore)
 	group.Go("peer follower", g.follower.FollowPeers)
 	group.Go("store update sender", g.broadcastUpdates)
+	group.Go("newer configuration fetcher", g.fetchFromNewerHosts)
 	group.Go("load report sender", g.sendLoadReports)
 	group.Go("load report receiver", g.receiveMessages)
 	group.Go("limit lender", g.lendLimits)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -60,14 +60,23 @@
 	g.protocol.StripReservedHeaders(&ctx.Request.Header)
 	now := g.clock.Now()
 	c := &activeCall{
-		gateway: g, meta: call, route: r, service: r.PickService(call.ID), version: table.Version(), fromPeer: fromPeer,
+		gateway: g, meta: call, fromPeer: fromPeer,
 		acceptedAt: now, arrivedAt: now, deadline: now.Add(callTimeout(call, r)), request: &ctx.Request,
 	}
-	c.work = balance.Work{Service: c.service, Priority: r.Priority, Tokens: call.Tokens, Parts: call.Parts, MaxGap: r.MaxGap, Key: call.ID, NoHold: g.settings.Policy.HoldShare == 0}
+	c.setRoute(table, r)
 	c.digest = g.signer.Digest(ctx.Request.Header.Method(), []byte(call.Host), []byte(call.Target), ctx.Request.Body())
 	return c
 }
 
+// setRoute lets the call go by a route of a configuration.
+func (c *activeCall) setRoute(table *route.Table, r *route.Route) {
+	c.route, c.version, c.service = r, table.Version(), r.PickService(c.meta.ID)
+	c.work = balance.Work{
+		Service: c.service, Priority: r.Priority, Tokens: c.meta.Tokens, Parts: c.meta.Parts, MaxGap: r.MaxGap, Key: c.meta.ID,
+		NoHold: c.gateway.settings.Policy.HoldShare == 0,
+	}
+}
+
 // callTimeout returns how long a call may take: the caller's deadline, at most the route's
 // timeout.
 func callTimeout(call Call, r *route.Route) time.Duration {
@@ -105,9 +114,7 @@
 		r, refused = c.requireVersion()
 	}
 	if !refused {
-		if c.isStream() && c.work.Version == continuation.Unknown {
-			c.work.Young = g.youngVersions(c.service)
-		}
+		c.setYoungVersions()
 		r = c.run()
 	}
 	if r.upstream == nil {
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -244,6 +244,13 @@
 	return true
 }
 
+// setYoungVersions keeps a stream that begins here from targets of versions that not all hosts may know yet.
+func (c *activeCall) setYoungVersions() {
+	if c.isStream() && c.work.Version == continuation.Unknown {
+		c.work.Young = c.gateway.youngVersions(c.service)
+	}
+}
+
 // youngVersions returns the versions of a service that not all hosts may know yet.
 func (g *Gateway) youngVersions(service string) []continuation.Version {
 	g.mu.Lock()
