platform: keep what can be used of a configuration that the store has accepted

What callers would see (CONFIG): all hosts serve the version before, until the next one, where one part of a configuration is not as the decoder or the check wants it: a whole number written as 2.0, a weight that is a fraction, an unknown kind of route, no maximum of attempts, a service that is not listed or listed twice.

Cause: a configuration was decoded and checked as one piece, by rules that are stricter than the store's. The store accepts only valid configurations, so that what does not fit is something that this build does not know.

Parts are decoded one by one. Only a route by which nothing can be routed is left out (no host, no path, no service, a field of another type); an unknown kind counts as one that runs once at most, and missing numbers as the least. What is left out or corrected is logged with its path. A configuration without a version, or of which no route can be used, leaves the one before in force.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sequoiarack/sequoiarack/internal/clock"
+	"github.com/sequoiarack/sequoiarack/internal/failure"
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
@@ -20,6 +21,8 @@
 	Kind     Kind
 	Document route.Document // set for Configuration
 	Report   Report         // set for TargetReport
+	// LeftOut is set for a Configuration of which some parts cannot be used as they are.
+	LeftOut failure.Problems
 	// DataCentre is set for Evacuation.
 	DataCentre string
 }
@@ -480,6 +483,9 @@
 			c.log.Info("Ignored an older configuration.", "Version", decoded.Document.Version, "InForce", next.Table.Version(), "Revision", e.ModRevision)
 			return false
 		}
+		if len(decoded.LeftOut) > 0 {
+			c.log.Error(decoded.LeftOut, "Parts of a configuration cannot be used as they are.", "Version", decoded.Document.Version, "Revision", e.ModRevision)
+		}
 		c.applyConfiguration(next, decoded.Document, e)
 	case TargetReport:
 		return c.applyReport(next, decoded.Report, e.ModRevision)
--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -56,6 +56,7 @@
 func (c *checker) checkRoute(path string, r *Route) {
 	c.problems.Require(r.Name != "", path+".Name", "expected a name")
 	c.problems.Require(r.Host != "", path+".Host", "expected a host")
+	c.problems.Require(r.Kind != Unknown, path+".Kind", "expected a known kind")
 	c.problems.Require(strings.HasPrefix(r.PathPrefix, "/") && strings.HasSuffix(r.PathPrefix, "/"),
 		path+".PathPrefix", "expected a path that begins and ends with a slash, got %q", r.PathPrefix)
 	c.problems.Require(r.MaxAttempts > 0, path+".MaxAttempts", "expected a positive number, got %d", r.MaxAttempts)
--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -16,10 +16,12 @@
 	// Stream calls are answered by a stream of events. They run at most once unless the
 	// route is resumable.
 	Stream
+	// Unknown is a kind that this build does not know. A Table has no such routes.
+	Unknown
 )
 
 // String returns the kind's name.
-func (k Kind) String() string { return [...]string{"Idempotent", "Once", "Stream"}[k] }
+func (k Kind) String() string { return [...]string{"Idempotent", "Once", "Stream", "Unknown"}[k] }
 
 // Split is a service with its weight among the services of a route.
 type Split struct {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"pgregory.net/rapid"
 
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
@@ -94,3 +97,40 @@
 		})
 	}
 })
+
+var _ = Describe("what can be used of a document", func() {
+	It("is the whole of one without wrong fields", func() {
+		d := document(3, route.Route{Name: "r", PathPrefix: "/a/", Kind: route.Stream, Timeout: 7})
+		usable, problems := route.Usable(d)
+		Expect(problems).To(BeEmpty())
+		Expect(usable).To(Equal(d))
+	})
+
+	It("passes the check, whatever is wrong", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			text := rapid.SampledFrom([]string{"", "/", "/a/", "a", "desk"})
+			number := rapid.IntRange(-2, 2)
+			d := route.Document{Version: 1}
+			for range rapid.IntRange(0, 3).Draw(t, "services") {
+				d.Services = append(d.Services, route.Service{Name: text.Draw(t, "name"), ColdPerSecond: float64(number.Draw(t, "rate"))})
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "routes") {
+				r := route.Route{
+					Name: text.Draw(t, "name"), Host: text.Draw(t, "host"), PathPrefix: text.Draw(t, "path"), MaxAttempts: number.Draw(t, "attempts"),
+					Timeout: time.Duration(number.Draw(t, "timeout")), Kind: rapid.SampledFrom([]route.Kind{route.Once, route.Unknown}).Draw(t, "kind"),
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "splits") {
+					r.Splits = append(r.Splits, route.Split{Service: text.Draw(t, "service"), Weight: number.Draw(t, "weight")})
+				}
+				d.Routes = append(d.Routes, r)
+			}
+			usable, problems := route.Usable(d)
+			if err := route.Check(usable); err != nil {
+				t.Fatal(err)
+			}
+			if len(problems) == 0 && route.Check(d) != nil && !slices.ContainsFunc(d.Routes, func(r route.Route) bool { return r.Kind == route.Unknown }) {
+				t.Fatalf("no problem is reported of %+v", d)
+			}
+		})
+	})
+})
