internal/gateway, internal/catalogue: say from whom a host has a version, and how old its news is

Logs and metrics told neither how a configuration came to a host nor what delayed it, so that a call by an old version could not be traced.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -71,10 +71,32 @@
 	drainingRetention = 10 * time.Minute
 )
 
+// Source is where a host has a change from.
+type Source string
+
+// The sources.
+const (
+	// FromStore is a read of the store by the host itself.
+	FromStore Source = "Store"
+	// FromReader is an update of the host that reads the store for the data centre.
+	FromReader Source = "Reader"
+	// FromOtherReader is an update without a revision, mostly of the reader of another data centre.
+	FromOtherReader Source = "OtherReader"
+	// FromPeer is a difference fetched from another host while the store does not answer.
+	FromPeer Source = "Peer"
+)
+
+// Origin says how a configuration came to a host, and when.
+type Origin struct {
+	Source Source
+	At     time.Time
+}
+
 // Snapshot is the state of the catalogue at one moment. It is immutable.
 type Snapshot struct {
 	Revision  int64
 	Table     *route.Table // nil before the first configuration
+	Origin    Origin       // of Table
 	Targets   map[string]Target
 	Evacuated map[string]bool // keyed by data centre
 }
@@ -157,10 +179,10 @@
 
 // Apply applies the changes of the store up to a revision and returns those that are new to this
 // host. Most are not: targets keep writing reports that only repeat the last one.
-func (c *Catalogue) Apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
+func (c *Catalogue) Apply(events []keyvalue.Event, revision int64, source Source) []keyvalue.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.apply(events, revision)
+	return c.apply(events, revision, source)
 }
 
 // ApplyFromStore applies all changes of the store from the revision after to another one. Unlike
@@ -175,7 +197,7 @@
 			changes = append(changes, e)
 		}
 	}
-	c.apply(events, revision)
+	c.apply(events, revision, FromStore)
 	return changes
 }
 
@@ -202,7 +224,7 @@
 }
 
 // apply applies events and returns those that are new to this host.
-func (c *Catalogue) apply(events []keyvalue.Event, revision int64) []keyvalue.Event {
+func (c *Catalogue) apply(events []keyvalue.Event, revision int64, source Source) []keyvalue.Event {
 	if len(events) == 0 {
 		c.advance(revision)
 		return nil
@@ -210,7 +232,7 @@
 	next := c.nextSnapshot(revision)
 	var changes []keyvalue.Event
 	for _, e := range events {
-		if e.Deleted && c.remove(next, e.Key, e.ModRevision) || !e.Deleted && c.put(next, e.Entry) {
+		if e.Deleted && c.remove(next, e.Key, e.ModRevision) || !e.Deleted && c.put(next, e.Entry, source) {
 			changes = append(changes, e)
 		}
 	}
@@ -242,7 +264,7 @@
 		u.Events = append(u.Events, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: revision}, Deleted: true})
 	}
 	if revision >= c.Snapshot().Revision {
-		c.replaceAll(entries, keys, revision)
+		c.replaceAll(entries, keys, revision, FromStore)
 	}
 	return u
 }
@@ -260,10 +282,10 @@
 
 // replaceAll applies entries at a revision and removes every known entry whose key is not
 // in keys, the set of all keys at that revision.
-func (c *Catalogue) replaceAll(entries []keyvalue.Entry, keys map[string]bool, revision int64) {
+func (c *Catalogue) replaceAll(entries []keyvalue.Entry, keys map[string]bool, revision int64, source Source) {
 	next := c.nextSnapshot(revision)
 	for _, e := range entries {
-		c.put(next, e)
+		c.put(next, e, source)
 	}
 	for _, key := range c.missing(keys, revision) {
 		c.remove(next, key, revision)
@@ -330,7 +352,7 @@
 	for _, key := range d.Keys {
 		keys[key] = true
 	}
-	c.replaceAll(d.Entries, keys, d.Revision)
+	c.replaceAll(d.Entries, keys, d.Revision, FromPeer)
 }
 
 // ApplyFullRead applies the update that another host derived from a full read of the store. This host
@@ -351,7 +373,7 @@
 			entries = append(entries, e.Entry)
 		}
 	}
-	c.replaceAll(entries, keys, u.Revision)
+	c.replaceAll(entries, keys, u.Revision, FromReader)
 }
 
 // MarkDraining marks the target process with this incarnation as draining, because the
@@ -433,7 +455,7 @@
 func (c *Catalogue) nextSnapshot(revision int64) *Snapshot {
 	old := c.Snapshot()
 	return &Snapshot{
-		Revision: max(old.Revision, revision), Table: old.Table,
+		Revision: max(old.Revision, revision), Table: old.Table, Origin: old.Origin,
 		Targets: maps.Clone(old.Targets), Evacuated: maps.Clone(old.Evacuated),
 	}
 }
@@ -459,7 +481,7 @@
 
 // put applies one entry unless the same or a newer revision of its key is known. It
 // reports whether the entry brings new information.
-func (c *Catalogue) put(next *Snapshot, e keyvalue.Entry) bool {
+func (c *Catalogue) put(next *Snapshot, e keyvalue.Entry, source Source) bool {
 	if c.known(e) {
 		return false
 	}
@@ -486,7 +508,7 @@
 		if len(decoded.LeftOut) > 0 {
 			c.log.Error(decoded.LeftOut, "Parts of a configuration cannot be used as they are.", "Version", decoded.Document.Version, "Revision", e.ModRevision)
 		}
-		c.applyConfiguration(next, decoded.Document, e)
+		c.applyConfiguration(next, decoded.Document, e, source)
 	case TargetReport:
 		return c.applyReport(next, decoded.Report, e.ModRevision)
 	case Evacuation:
@@ -506,7 +528,7 @@
 
 // applyConfiguration adopts a configuration if it is valid and its version is higher than
 // the current one.
-func (c *Catalogue) applyConfiguration(next *Snapshot, d route.Document, e keyvalue.Entry) {
+func (c *Catalogue) applyConfiguration(next *Snapshot, d route.Document, e keyvalue.Entry, source Source) {
 	if next.Table != nil && d.Version <= next.Table.Version() {
 		return
 	}
@@ -515,8 +537,8 @@
 		c.log.Error(err, "Rejected an invalid configuration; the previous one stays in force.", "Version", d.Version)
 		return
 	}
-	next.Table, c.configuration = table, e
-	c.log.Info("A configuration is in force.", "Version", d.Version, "Revision", e.ModRevision, "Routes", table.Routes())
+	next.Table, next.Origin, c.configuration = table, Origin{Source: source, At: c.clock.Now()}, e
+	c.log.Info("A configuration is in force.", "Version", d.Version, "Revision", e.ModRevision, "Routes", table.Routes(), "Source", source, "Known", c.Snapshot().Revision)
 }
 
 // applyReport applies the report of a target, written at a revision, unless it is older than the
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -167,7 +167,7 @@
 				if s.Replace {
 					known.Replace(s.entries(), 0, s.Revision)
 				} else {
-					known.Apply(s.events(), s.Revision)
+					known.Apply(s.events(), s.Revision, catalogue.FromStore)
 				}
 				known.Sweep()
 				s.check(manual.Now(), known.Snapshot())
@@ -181,7 +181,7 @@
 				if s.Replace {
 					source.Replace(s.entries(), 0, s.Revision)
 				} else {
-					source.Apply(s.events(), s.Revision)
+					source.Apply(s.events(), s.Revision, catalogue.FromStore)
 				}
 				if d, changed := source.Since(receiver.Snapshot().Revision); changed {
 					receiver.Merge(d)
@@ -198,7 +198,7 @@
 	It("returns the changes that bring new information", func() {
 		known := newCatalogue()
 		put := func(revision int64, key, value string) []keyvalue.Event {
-			return known.Apply([]keyvalue.Event{{Entry: keyvalue.Entry{Key: key, Value: []byte(value), ModRevision: revision}}}, revision)
+			return known.Apply([]keyvalue.Event{{Entry: keyvalue.Entry{Key: key, Value: []byte(value), ModRevision: revision}}}, revision, catalogue.FromStore)
 		}
 		Expect(put(1, "config", "1")).To(HaveLen(1))
 		Expect(put(2, "target/a", "100 1 ready")).To(HaveLen(1))
@@ -209,8 +209,8 @@
 		Expect(put(6, "target/a", "unreadable")).To(HaveLen(1))
 		Expect(put(7, "something/else", "1")).To(BeEmpty())
 		removal := []keyvalue.Event{{Entry: keyvalue.Entry{Key: "target/a", ModRevision: 8}, Deleted: true}}
-		Expect(known.Apply(removal, 8)).To(HaveLen(1))
-		Expect(known.Apply(removal, 8)).To(BeEmpty())
+		Expect(known.Apply(removal, 8, catalogue.FromStore)).To(HaveLen(1))
+		Expect(known.Apply(removal, 8, catalogue.FromStore)).To(BeEmpty())
 	})
 })
 
@@ -274,7 +274,7 @@
 		var update catalogue.Update
 		Eventually(group.sent).WithTimeout(5 * time.Second).Should(Receive(&update))
 		Expect(update.After).To(Equal(peer.Snapshot().Revision))
-		peer.Apply(update.Events, update.Revision)
+		peer.Apply(update.Events, update.Revision, catalogue.FromReader)
 		Expect(peer.Snapshot().Table.Version()).To(Equal(uint64(2)))
 		Expect(peer.Snapshot().Targets["a"].State).To(Equal(catalogue.Draining))
 		Expect(peer.Snapshot().Targets).NotTo(HaveKey("b"))
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -115,6 +115,7 @@
 	nextCall time.Time // earliest time of the next call
 	restored bool      // the store has begun a new era since the last successful call
 	updated  time.Time // when another host last sent all changes
+	reader   bool      // this host reads for its group
 }
 
 // FollowStore reads the store until ctx ends, unless another host does so for this one.
@@ -122,10 +123,14 @@
 	state := readState{fullRead: true, first: true}
 	for {
 		now := f.clock.Now()
+		if reader := f.peers.IsReader(); reader != state.reader {
+			state.reader = reader
+			f.log.Info("The host that reads the store has changed.", "Self", reader, "Revision", f.catalogue.Snapshot().Revision)
+		}
 		if state.first && f.catalogue.Snapshot().Revision > 0 {
 			state.fullRead, state.first, state.updated = false, false, now // another host sent the full state
 		}
-		if !now.Before(state.nextCall) && (state.fullRead || f.peers.IsReader() || now.Sub(state.updated) > maxUpdateAge) {
+		if !now.Before(state.nextCall) && (state.fullRead || state.reader || now.Sub(state.updated) > maxUpdateAge) {
 			state = f.readOnce(ctx, state)
 			state.nextCall = f.clock.Now().Add(f.pause(state))
 		}
@@ -143,35 +148,50 @@
 	}
 }
 
+// UpdateResult is what came of an update.
+type UpdateResult string
+
+// The results.
+const (
+	// Adopted means that this host has all changes up to the update's revision.
+	Adopted UpdateResult = "Adopted"
+	// Gap means that it lacks changes of before the update.
+	Gap UpdateResult = "Gap"
+	// Incomplete means that the update has no revision.
+	Incomplete UpdateResult = "Incomplete"
+)
+
 // HandleUpdate applies an update from the host that reads the store. A host that has missed
 // an earlier update applies the events without adopting the revision; it reads the store
 // itself once maxUpdateAge is over. The update has all changes until asOf, zero if that is not
 // known.
-func (f *Follower) HandleUpdate(u Update, asOf time.Time) {
+func (f *Follower) HandleUpdate(u Update, asOf time.Time) UpdateResult {
 	if u.Partial {
-		if events := f.catalogue.Apply(u.Events, 0); len(events) > 0 {
+		if events := f.catalogue.Apply(u.Events, 0, FromOtherReader); len(events) > 0 {
 			f.broadcast(Update{Events: events, Partial: true})
 		}
-		return
+		return Incomplete
 	}
 	known := f.catalogue.Snapshot().Revision
 	if u.StoreRecovered {
 		f.catalogue.StoreRecovered()
 	}
 	if known < u.After {
-		f.catalogue.Apply(u.Events, 0)
-		return
+		f.catalogue.Apply(u.Events, 0, FromReader)
+		f.log.Info("An update starts after the revision of this host.", "Known", known, "After", u.After, "Revision", u.Revision)
+		return Gap
 	}
 	if u.FullRead {
 		f.catalogue.ApplyFullRead(u)
 	} else {
-		f.catalogue.Apply(u.Events, u.Revision)
+		f.catalogue.Apply(u.Events, u.Revision, FromReader)
 	}
 	f.recordContact(asOf)
 	select {
 	case f.updated <- struct{}{}:
 	default:
 	}
+	return Adopted
 }
 
 // readOnce makes one call to the store and returns the state after it.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,6 +26,7 @@
 	fromPeer   bool
 	acceptedAt time.Time // arrival at the host that the caller chose
 	arrivedAt  time.Time // arrival at this host
+	newsAgeMs  int64     // of this host when the call arrived; see newsAge
 	deadline   time.Time
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,13 +161,15 @@
 	storeReaders     atomic.Pointer[storeReaders]
 	// configurationFetches joins the requests of calls for a newer configuration.
 	configurationFetches singleflight.Group
-	leaving              atomic.Bool
-	drain                atomic.Pointer[drainPeriod] // nil before Drain
-	messageCounter       atomic.Uint64               // of datagrams sent
-	partItems            atomic.Int64                // items posted under keys of this process
-	regionTurn           int                         // of reports to other regions; only sendLoadReports uses it
-	inFlight             atomic.Int64
-	stop                 context.CancelFunc
+	// observedVersion is the version that observeConfiguration has counted last.
+	observedVersion atomic.Uint64
+	leaving         atomic.Bool
+	drain           atomic.Pointer[drainPeriod] // nil before Drain
+	messageCounter  atomic.Uint64               // of datagrams sent
+	partItems       atomic.Int64                // items posted under keys of this process
+	regionTurn      int                         // of reports to other regions; only sendLoadReports uses it
+	inFlight        atomic.Int64
+	stop            context.CancelFunc
 }
 
 // drainPeriod is the time of a graceful stop. Calls are accepted until noticeEnd; the process exits
@@ -379,6 +381,7 @@
 func (g *Gateway) configure(s *catalogue.Snapshot) {
 	g.observeVersions(s)
 	if s.Table != nil {
+		g.observeConfiguration(s)
 		g.callers.SetTimeouts(s.Table.Limits().IdleTimeout, s.Table.Limits().HeaderTimeout)
 	}
 	g.mu.Lock()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -52,7 +52,7 @@
 	}
 	r := table.Find(call.Host, pathOf(call.Target))
 	if r == nil {
-		g.log.Info("A call has no route.", "ID", call.ID, "Host", call.Host, "Version", table.Version())
+		g.log.Info("A call has no route.", "ID", call.ID, "Host", call.Host, "Version", table.Version(), "NewsAgeMs", g.newsAgeMs(g.clock.Now()))
 		g.metrics.add("calls_without_route_total", 1)
 		g.writeHostReply(ctx, reply{status: fasthttp.StatusNotFound, outcome: core.NotRun, reason: "no route"})
 		return nil
@@ -60,7 +60,7 @@
 	g.protocol.StripReservedHeaders(&ctx.Request.Header)
 	now := g.clock.Now()
 	c := &activeCall{
-		gateway: g, meta: call, fromPeer: fromPeer,
+		gateway: g, meta: call, fromPeer: fromPeer, newsAgeMs: g.newsAgeMs(now),
 		acceptedAt: now, arrivedAt: now, deadline: now.Add(callTimeout(call, r)), request: &ctx.Request,
 	}
 	c.setRoute(table, r)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
@@ -44,6 +45,48 @@
 	}
 }
 
+// ageBounds are the upper bounds of the classes of a histogram of ages, in milliseconds.
+var ageBounds = []int64{250, 500, 1000, 1500, 2000, 3000, 4000, 5000, 7000, 10000}
+
+// observeAge adds a value to a cumulative histogram.
+func (m *metrics) observeAge(name string, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, bound := range ageBounds {
+		if age.Milliseconds() <= bound {
+			m.counts[fmt.Sprintf("%s_bucket{le=\"%d\"}", name, bound)]++
+		}
+	}
+	m.counts[name+"_bucket{le=\"+Inf\"}"]++
+}
+
+// observeConfiguration counts a new configuration by its source, and the longest time that it may have taken
+// to come here: since the last moment as of which this host had all changes.
+func (g *Gateway) observeConfiguration(s *catalogue.Snapshot) {
+	version := s.Table.Version()
+	if g.observedVersion.Swap(version) == version {
+		return
+	}
+	g.metrics.add(fmt.Sprintf("configurations_total{source=%q}", s.Origin.Source), 1)
+	if age, known := g.newsAge(g.clock.Now()); known {
+		g.metrics.observeAge("configuration_delay_ms", age)
+	}
+}
+
+// newsAge returns how long ago this host had all changes of the store, false if it never had.
+func (g *Gateway) newsAge(now time.Time) (time.Duration, bool) {
+	contact := g.follower.LastContact()
+	return now.Sub(contact), !contact.IsZero()
+}
+
+// newsAgeMs returns newsAge in milliseconds, -1 if it is not known.
+func (g *Gateway) newsAgeMs(now time.Time) int64 {
+	if age, known := g.newsAge(now); known {
+		return age.Milliseconds()
+	}
+	return -1
+}
+
 const (
 	pathMetrics = "/metrics"
 	pathState   = "/state"
@@ -57,6 +100,7 @@
 		snapshot := g.catalogue.Snapshot()
 		_, _ = fmt.Fprintf(ctx, "sequoiarack_store_revision %d\nsequoiarack_targets %d\nsequoiarack_calls_running %d\nsequoiarack_hosts %d\n",
 			snapshot.Revision, len(snapshot.Targets), g.inFlight.Load(), len(g.gossip.View().Members))
+		_, _ = fmt.Fprintf(ctx, "sequoiarack_configuration_version %d\nsequoiarack_news_age_ms %d\n", g.configurationVersion(), g.newsAgeMs(g.clock.Now()))
 	case pathState:
 		g.writeJSON(ctx, g.Dump())
 	default:
@@ -66,14 +110,21 @@
 
 // State is a dump of the host's state for operators and tests.
 type State struct {
-	Host      string
-	Region    string
-	Version   uint64
-	Revision  int64
-	Evacuated map[string]bool
-	Leaving   bool
-	InFlight  int64
-	Hosts     []member.Info
+	Host    string
+	Region  string
+	Version uint64
+	// VersionSource and VersionAgeMs say how the configuration came here, and how long ago.
+	VersionSource catalogue.Source
+	VersionAgeMs  int64
+	Revision      int64
+	// NewsAgeMs is how long ago the host had all changes of the store, -1 if it never had.
+	NewsAgeMs int64
+	// StoreReader is the host that reads the store for the data centre.
+	StoreReader string
+	Evacuated   map[string]bool
+	Leaving     bool
+	InFlight    int64
+	Hosts       []member.Info
 	// Targets are the targets of the own region.
 	Targets      []balance.TargetDump
 	KnownTargets int
@@ -93,12 +144,13 @@
 		Host:         g.settings.Host, Region: g.settings.Region, Revision: snapshot.Revision, Evacuated: snapshot.Evacuated,
 		Leaving: g.leaving.Load(), InFlight: g.inFlight.Load(), Hosts: g.gossip.View().Members, Regions: g.liveRegions(),
 	}
+	now := g.clock.Now()
 	if snapshot.Table != nil {
-		d.Version = snapshot.Table.Version()
+		d.Version, d.VersionSource, d.VersionAgeMs = snapshot.Table.Version(), snapshot.Origin.Source, now.Sub(snapshot.Origin.At).Milliseconds()
 	}
+	d.NewsAgeMs, d.StoreReader = g.newsAgeMs(now), g.storeReaderOf(g.settings.DataCentre)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
 	d.Targets, d.Reach = g.balancer.Dump(now), g.balancer.Reach().String()
 	d.SuspectedParts, d.QuarantinedParts = g.parts.Counts(now)
 	return d
@@ -142,7 +194,7 @@
 	if succeeded && xxhash.Sum64String(c.meta.ID)%successesPerLogLine != 0 {
 		return
 	}
-	c.gateway.log.Info("A call ended.", "ID", c.meta.ID, "Route", c.route.Name, "Service", c.service, "Version", c.version,
+	c.gateway.log.Info("A call ended.", "ID", c.meta.ID, "Route", c.route.Name, "Service", c.service, "Version", c.version, "NewsAgeMs", c.newsAgeMs,
 		"Received", c.fromPeer, "Status", status, "Outcome", outcome.String(), "Reason", reason,
 		"TookMs", took.Milliseconds(), "HeldMs", c.heldFor.Milliseconds(), "Diverted", c.diverted, "FirstMs", c.firstByteMs(), "LongestPauseMs", c.longestPause.Milliseconds(), "Sends", c.attempts, "Steps", c.steps, "Since", c.acceptedAt.UTC().Format(time.RFC3339Nano))
 }
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -73,6 +73,9 @@
 		g.updateHosts()
 		peers := g.regionPeers()
 		now := g.clock.Now()
+		if age, known := g.newsAge(now); known {
+			g.metrics.observeAge("news_age_ms", age)
+		}
 		interval := loadInterval(len(peers))
 		if now.Sub(lastToRegion) >= interval {
 			lastToRegion = now
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -41,6 +42,7 @@
 func (p peerGroup) Broadcast(u catalogue.Update) {
 	if !p.gateway.updates.TryPut(u) {
 		p.gateway.metrics.add("news_dropped_total", 1)
+		p.gateway.log.Info("A store update was dropped, as others wait to be sent.", "After", u.After, "Revision", u.Revision, "Partial", u.Partial)
 	}
 }
 
@@ -100,7 +102,7 @@
 		}
 		group.Go(func() error {
 			if err := g.sendUpdate(ctx, m, update); err != nil {
-				g.log.V(1).Info("A store update did not reach a host.", "To", m.Host, "Revision", update.Revision, "Error", err.Error())
+				g.log.Info("A store update did not reach a host.", "To", m.Host, "Revision", update.Revision, "Error", err.Error())
 				g.metrics.add("news_lost_total", 1)
 			}
 			return nil // the host reads the store itself
@@ -196,6 +198,7 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	g.follower.HandleUpdate(m.Update, g.asOf(m))
+	result := g.follower.HandleUpdate(m.Update, g.asOf(m))
+	g.metrics.add(fmt.Sprintf("updates_total{result=%q}", result), 1)
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
