internal/gateway: know how old the news of a reader is under load

Cause: an update says which load report of the recipient the reader has heard last, by which the recipient dates it. The reader named its last message of any kind; changes of load at targets, one for each call, have numbers between those of load reports, which the recipient remembers. So under load nearly no update had a date.

The reader now names the last load report. The message is unchanged.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -41,6 +41,7 @@
 type messageStamp struct {
 	incarnation int64
 	counter     uint64
+	report      uint64 // counter of its last load report, 0 before the first
 	at          time.Time
 }
 
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -271,6 +271,12 @@
 	known, ok := g.lastMessages[m.Host]
 	started := !ok || known.incarnation != m.Incarnation
 	stamp := messageStamp{incarnation: m.Incarnation, counter: m.Counter, at: heardAt}
+	if !started {
+		stamp.report = known.report
+	}
+	if m.Share != nil {
+		stamp.report = m.Counter
+	}
 	if !started && known.at.After(heardAt) {
 		stamp.at = known.at
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -139,7 +139,7 @@
 	defer g.mu.Unlock()
 	m := updateMessage{Update: u}
 	if last, ok := g.lastMessages[to]; ok && !contact.IsZero() {
-		m.AgeMs, m.Heard, m.HeardIncarnation = g.clock.Now().Sub(contact).Milliseconds(), last.counter, last.incarnation
+		m.AgeMs, m.Heard, m.HeardIncarnation = g.clock.Now().Sub(contact).Milliseconds(), last.report, last.incarnation
 	}
 	return m
 }
