--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -45,6 +45,21 @@
 	at          time.Time
 }
 
+// next returns the stamp after a further message, of the same process or of one started later.
+func (s messageStamp) next(m peerMessage, heardAt time.Time) messageStamp {
+	if s.incarnation != m.Incarnation {
+		s = messageStamp{incarnation: m.Incarnation}
+	}
+	s.counter = m.Counter
+	if heardAt.After(s.at) {
+		s.at = heardAt
+	}
+	if m.Share != nil {
+		s.report = m.Counter
+	}
+	return s
+}
+
 // liveRegions returns the other regions from which a message has arrived recently.
 func (g *Gateway) liveRegions() []string {
 	g.mu.Lock()
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -261,26 +261,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	if known, ok := g.lastMessages[m.Host]; ok && known.incarnation == m.Incarnation && known.counter >= m.Counter {
+	known, ok := g.lastMessages[m.Host]
+	started := !ok || known.incarnation != m.Incarnation
+	if !started && known.counter >= m.Counter {
 		return
 	}
 	heardAt := g.balancer.HeardAt(now)
+	g.lastMessages[m.Host] = known.next(m, heardAt)
 	if m.Region != g.settings.Region && heardAt.After(g.regionLastSeen[m.Region]) {
 		g.regionLastSeen[m.Region] = heardAt
 	}
-	known, ok := g.lastMessages[m.Host]
-	started := !ok || known.incarnation != m.Incarnation
-	stamp := messageStamp{incarnation: m.Incarnation, counter: m.Counter, at: heardAt}
-	if !started {
-		stamp.report = known.report
-	}
-	if m.Share != nil {
-		stamp.report = m.Counter
-	}
-	if !started && known.at.After(heardAt) {
-		stamp.at = known.at
-	}
-	g.lastMessages[m.Host] = stamp
 	if m.Region != g.settings.Region {
 		g.regions.Update(now, m.Region, m.Services)
 		return
