--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -213,14 +213,10 @@
 	return decoded.Kind != TargetReport || err != nil || olderErr != nil || decoded.Report.isUpdateOf(before.Report)
 }
 
-// isCovered reports whether the revision that this host has covers a change, so that the change is not
-// new, though its key may be gone.
-func (c *Catalogue) isCovered(revision int64) bool { return revision <= c.Snapshot().Revision }
-
 // known reports whether this revision of the key, or a later one, was applied before, as
-// a write or as a removal.
+// a write or as a removal, or is covered by the revision that this host has.
 func (c *Catalogue) known(e keyvalue.Entry) bool {
-	return c.isCovered(e.ModRevision) || c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision
+	return e.ModRevision <= c.Snapshot().Revision || c.entries[e.Key].ModRevision >= e.ModRevision || c.removed[e.Key] >= e.ModRevision
 }
 
 // apply applies events and returns those that are new to this host.
@@ -255,7 +251,7 @@
 			u.Events = append(u.Events, change)
 		}
 	}
-	for key, at := range c.removed { // for hosts of builds that do not go by the keys
+	for key, at := range c.removed { // for hosts of the build before, which ignore Keys
 		if at > after && !keys[key] {
 			u.Events = append(u.Events, keyvalue.Event{Entry: keyvalue.Entry{Key: key, ModRevision: at}, Deleted: true})
 		}
@@ -348,11 +344,15 @@
 	if d.Revision <= c.Snapshot().Revision {
 		return
 	}
-	keys := make(map[string]bool, len(d.Keys))
-	for _, key := range d.Keys {
-		keys[key] = true
+	c.replaceAll(d.Entries, setOf(d.Keys), d.Revision, FromPeer)
+}
+
+func setOf(keys []string) map[string]bool {
+	out := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		out[key] = true
 	}
-	c.replaceAll(d.Entries, keys, d.Revision, FromPeer)
+	return out
 }
 
 // ApplyFullRead applies the update that another host derived from a full read of the store. This host
@@ -363,17 +363,13 @@
 	if u.Revision <= c.Snapshot().Revision {
 		return
 	}
-	keys := make(map[string]bool, len(u.Keys))
-	for _, key := range u.Keys {
-		keys[key] = true
-	}
 	var entries []keyvalue.Entry
 	for _, e := range u.Events {
 		if !e.Deleted {
 			entries = append(entries, e.Entry)
 		}
 	}
-	c.replaceAll(entries, keys, u.Revision, FromReader)
+	c.replaceAll(entries, setOf(u.Keys), u.Revision, FromReader)
 }
 
 // MarkDraining marks the target process with this incarnation as draining, because the
