internal/link: wait in a test until the server takes connections for idle

The server takes a connection for idle after its client has the response: if that is late for one connection, another one has been idle for longer by then, and makes room; the check that the first is closed then passed by its own deadline.

The spec now waits for the moment, and a deadline no longer counts as a closed connection, which is stricter. The limiter is unchanged.

--- a/internal/link/limiter_test.go
+++ b/internal/link/limiter_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/clock"
@@ -48,9 +50,10 @@
 	return response.StatusCode
 }
 
+// isClosed reports whether the server closes the connection before the deadline.
 func (c *client) isClosed() bool {
 	_, err := c.reader.Peek(1)
-	return err != nil
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 var _ = Describe("Limiter", func() {
@@ -122,9 +125,13 @@
 		_, err := fmt.Fprint(busy, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
 		Expect(err).NotTo(HaveOccurred())
 		first, second := dial(address), dial(address)
+		// The server takes a connection for idle after its client has the response.
+		expectIdle := func(n int) { Eventually(l.Idle).Should(Equal(n)) }
 		Expect(first.get()).To(Equal(http.StatusOK))
 		Expect(second.get()).To(Equal(http.StatusOK))
+		expectIdle(2)
 		Expect(first.get()).To(Equal(http.StatusOK))
+		expectIdle(2)
 		third := dial(address)
 		Expect(third.get()).To(Equal(http.StatusOK))
 		Expect(second.isClosed()).To(BeTrue())
