internal/catalogue, internal/gateway: take no failure of a host for an outage of the store

Cause: after an outage of the store, targets whose entries have expired in it stay in use for 2 s, so that they can write them again. Any failed read of a host counted as an outage.

Hosts now tell others, with their load reports, how long ago the store answered them.

Messages gain one field; hosts of the build before do not send it, and are not counted.

--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -236,6 +236,8 @@
 
 func (readerGroup) IsReader() bool { return true }
 
+func (readerGroup) StoreAnswered(time.Time) bool { return false }
+
 func (g readerGroup) Broadcast(u catalogue.Update) { g.sent <- u }
 
 var _ = Describe("the host that reads the store for its group", func() {
--- a/internal/catalogue/export_test.go
+++ b/internal/catalogue/export_test.go
@@ -3,10 +3,10 @@
 import "context"
 
 // ReadAll makes a full read of the store, as FollowStore does.
-func (f *Follower) ReadAll(ctx context.Context) error { return f.readAll(ctx, false) }
+func (f *Follower) ReadAll(ctx context.Context) error { return f.readAll(ctx, readState{}) }
 
 // ReadChanges reads the changes of the store, as FollowStore does.
-func (f *Follower) ReadChanges(ctx context.Context) error { return f.readChanges(ctx, false) }
+func (f *Follower) ReadChanges(ctx context.Context) error { return f.readChanges(ctx, readState{}) }
 
 // FetchFromPeer fetches changes from another host, as FollowPeers does.
 func (f *Follower) FetchFromPeer(ctx context.Context) { f.fetchFromPeer(ctx) }
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -64,6 +64,8 @@
 	IsReader() bool
 	// Broadcast sends an update to the other hosts. It must not block.
 	Broadcast(u Update)
+	// StoreAnswered reports whether the store has answered other hosts all the time since a moment.
+	StoreAnswered(since time.Time) bool
 }
 
 // Follower keeps a Catalogue up to date from the store, and from other hosts while the
@@ -201,7 +203,7 @@
 		read = f.readAll
 	}
 	began := f.clock.Now()
-	err := read(ctx, s.failed || s.restored)
+	err := read(ctx, s)
 	if ctx.Err() != nil {
 		return s
 	}
@@ -233,7 +235,7 @@
 	}
 }
 
-func (f *Follower) readAll(ctx context.Context, recovering bool) error {
+func (f *Follower) readAll(ctx context.Context, s readState) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	after := f.catalogue.Snapshot().Revision
@@ -241,6 +243,7 @@
 	if err != nil {
 		return err
 	}
+	recovering := f.isRecovering(s)
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
@@ -253,7 +256,7 @@
 	return nil
 }
 
-func (f *Follower) readChanges(ctx context.Context, recovering bool) error {
+func (f *Follower) readChanges(ctx context.Context, s readState) error {
 	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
 	after := f.catalogue.Snapshot().Revision
@@ -261,6 +264,7 @@
 	if err != nil {
 		return err
 	}
+	recovering := f.isRecovering(s)
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
@@ -268,6 +272,17 @@
 	return nil
 }
 
+// isRecovering reports whether the store has been restored or was out since the last successful call, so that
+// entries of targets may have expired in it. A failure of this host alone is no outage.
+func (f *Follower) isRecovering(s readState) bool {
+	if s.restored || !s.failed {
+		return s.restored
+	}
+	answered := f.peers.StoreAnswered(f.LastContact())
+	f.log.Info("Reads of the store had failed.", "Outage", !answered)
+	return !answered
+}
+
 // broadcast sends an update to the group if this host reads the store for it.
 func (f *Follower) broadcast(u Update) {
 	if f.peers.IsReader() {
--- a/internal/catalogue/revisions_test.go
+++ b/internal/catalogue/revisions_test.go
@@ -119,6 +119,9 @@
 // IsReader implements catalogue.PeerGroup.
 func (*replica) IsReader() bool { return true }
 
+// StoreAnswered implements catalogue.PeerGroup.
+func (*replica) StoreAnswered(time.Time) bool { return false }
+
 // Broadcast implements catalogue.PeerGroup.
 func (r *replica) Broadcast(u catalogue.Update) {
 	for i := range r.group.hosts {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 //	members.go      live hosts, readiness and the directory for callers
 //	standstill.go   times at which the host or its machine stood still
 //	paths.go        paths of hosts to the targets of their region
+//	storecontact.go answers of the store to other hosts
 //	newer.go        configurations that another host has before this one
 //	updates.go      store updates that one host reads for its data centre
 //	peers.go        requests between hosts
@@ -147,6 +148,7 @@
 	reaches         map[string]knownReach    // by host; of those that do not reach most targets
 	lastMessages    map[string]messageStamp  // by host
 	sentReports     sentReports
+	storeContact    storeContact // of other hosts
 	// suspendedFor is how long the machine was suspended in all, by the difference of two clocks.
 	suspendedFor time.Duration
 	// regionLastSeen is when the last message of each other region arrived.
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -64,6 +64,8 @@
 	StreamReply *streamReply   `cbor:"20,keyasint,omitempty"`
 	// Brittle is about targets that fall over when they turn away too many calls.
 	Brittle []balance.BrittleReport `cbor:"21,keyasint,omitempty"`
+	// ContactAgeMs is the time since the store answered the sender, or the host that reads for it.
+	ContactAgeMs *int64 `cbor:"22,keyasint,omitempty"`
 }
 
 // sendLoadReports sends load reports to other hosts until ctx is done.
@@ -105,7 +107,7 @@
 	g.mu.Lock()
 	share := g.balancer.Share(now)
 	g.mu.Unlock()
-	counter := g.sendMessage(peerMessage{Share: &share}, peers)
+	counter := g.sendMessage(peerMessage{Share: &share, ContactAgeMs: g.contactAgeMs()}, peers)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sentReports.add(counter, now)
@@ -150,7 +152,7 @@
 		states = g.balancer.States(now)
 	}
 	g.mu.Unlock()
-	g.sendMessage(peerMessage{Services: states}, others)
+	g.sendMessage(peerMessage{Services: states, ContactAgeMs: g.contactAgeMs()}, others)
 }
 
 // sendMessage sends a datagram to hosts, and returns its counter.
@@ -268,6 +270,9 @@
 	}
 	heardAt := g.balancer.HeardAt(now)
 	g.lastMessages[m.Host] = known.next(m, heardAt)
+	if m.ContactAgeMs != nil && *m.ContactAgeMs >= 0 {
+		g.storeContact.observe(heardAt.Add(-time.Duration(*m.ContactAgeMs) * time.Millisecond))
+	}
 	if m.Region != g.settings.Region && heardAt.After(g.regionLastSeen[m.Region]) {
 		g.regionLastSeen[m.Region] = heardAt
 	}
