internal/exchange, internal/gateway: repeat a request to the store on a new connection

Cause: connections to the store go silent for good. The call in flight ends by its time-out, 2.5 s later, and the host takes that for an outage of the store: entries of running targets expire in one, so it keeps the removed target for 2 s more. Hosts whose connections go silent together have nobody to tell them otherwise. The same chain of waits holds up configurations.

Change: the pool of connections to the store sends a request once more, on a new connection, when the first one brings no response within a second, or fails on a connection that was kept. All requests to the store are reads. The first response counts; the other exchange is ended. A failed read then means that the store does not answer on a new connection either. store_requests_repeated_total counts the repeats: at most one for each read.

Specs of the pool: silent, closed and reset kept connections; the first response counts if it comes first; nothing is repeated where a new connection fails.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -43,6 +43,8 @@
 	numbered       bool   // each request gets a new value of echoHeader
 	closeDelimited bool
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
+	repeatAfter    time.Duration // see WithRepeat; 0 for never
+	onRepeat       func()
 
 	sent atomic.Uint64 // requests, if numbered
 
@@ -132,6 +134,9 @@
 // must Close the response. When ctx ends, reads and writes on the connection fail at
 // once, also while the body is being read. Errors are of kind Unsent or Unanswered.
 func (p *Pool) Do(ctx context.Context, address string, request *fasthttp.Request) (*Response, error) {
+	if p.repeatAfter > 0 {
+		return p.doWithRepeat(ctx, address, request)
+	}
 	return p.DoIf(ctx, address, request, func() error { return nil })
 }
 
@@ -139,11 +144,7 @@
 // fails, nothing is sent, and the error is of kind Withdrawn.
 func (p *Pool) DoIf(ctx context.Context, address string, request *fasthttp.Request, check func() error) (*Response, error) {
 	const op = "exchange"
-	if p.numbered {
-		request.Header.Set(p.echoHeader, strconv.FormatUint(p.sent.Add(1), 16))
-	}
-	id := p.idOf(request)
-	c, err := p.get(ctx, address, id)
+	c, err := p.get(ctx, address, p.idOf(request))
 	if err != nil {
 		return nil, wrap(op, Unsent, err)
 	}
@@ -151,8 +152,17 @@
 		p.put(c)
 		return nil, wrap(op, Withdrawn, err)
 	}
+	return p.exchange(ctx, c, request)
+}
+
+// exchange sends the request on a connection and reads the header of the response.
+func (p *Pool) exchange(ctx context.Context, c *conn, request *fasthttp.Request) (*Response, error) {
+	const op = "exchange"
+	if p.numbered {
+		request.Header.Set(p.echoHeader, strconv.FormatUint(p.sent.Add(1), 16))
+	}
 	if p.onceHeader != "" {
-		c.carried = append(c.carried, id)
+		c.carried = append(c.carried, p.idOf(request))
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	kind, sendErr := send(c, request)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,9 @@
 	drainPollInterval = 20 * time.Millisecond
 	// exitMargin is the part of the drain time reserved for the exit of the process.
 	exitMargin = 400 * time.Millisecond
+	// storeRepeatTime is the time without a response after which a request to the store is sent again on a
+	// new connection. It exceeds the time for which the store may wait for changes, and a round trip.
+	storeRepeatTime = time.Second
 )
 
 // Adapters connect the gateway to the platform on which it runs.
@@ -242,7 +245,7 @@
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime))
 	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
-	g.storePool = exchange.NewPool(g.network)
+	g.storePool = exchange.NewPool(g.network, exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }))
 	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes)
 	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes)
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
