internal/gateway, internal/catalogue: let no host wait for updates behind others, and date them when they are read

What callers saw: hosts in touch handled calls by versions of several seconds ago and sent calls to data centres that were evacuated, while other hosts of their data centre were slow or hung.

Cause: the reader sent one update after the other, each to 8 hosts at a time, up to 0.3 s to a host that hangs. Once an update takes longer than the 0.8 s until the next, a queue of 8 fills. The recipients went by the arrival of updates, not by their age, so none read the store itself. An update stated the time of the reader's last read when it was sent, not that of its own read, so it passed for news of now, also in logs and metrics.

Change: each host has updates of its own waiting, which are joined while one is being sent; a failed one waits for the next instead of leaving a gap. An update is dated when the store is asked. A host relies on the reader for 2.1 s from then, in place of 1.4 s from the arrival: two calls and a pause, the same without delay.

The new spec of the catalogue fails if arrivals are counted (one of three cases). Random series of the catalogue join updates, too.

--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -325,3 +325,60 @@
 	<-ctx.Done()
 	return nil, after, ctx.Err()
 }
+
+// readStore is a store that notes reads after the first one.
+type readStore struct{ read chan struct{} }
+
+func (readStore) Read(context.Context) (keyvalue.Page, error) {
+	return keyvalue.Page{Revision: 1}, nil
+}
+
+func (s readStore) Changes(_ context.Context, after int64) ([]keyvalue.Event, int64, error) {
+	select {
+	case s.read <- struct{}{}:
+	default:
+	}
+	return nil, after, nil
+}
+
+// memberGroup is the group of a host for which another one reads the store.
+type memberGroup struct{}
+
+func (memberGroup) IsReader() bool { return false }
+
+func (memberGroup) StoreAnswered(time.Time) bool { return true }
+
+func (memberGroup) Broadcast(catalogue.Update) {}
+
+var _ = Describe("a host for which another one reads the store", func() {
+	// Guards against a host that relies on updates because they come, however late they are.
+	DescribeTable("reads the store itself only if its news is old", func(age time.Duration, reads bool) {
+		store := readStore{read: make(chan struct{}, 1)}
+		follower := catalogue.NewFollower(catalogue.New(testDecoder{}, map[string]string{"n1": "north"}), store, nil, memberGroup{}, clock.System{}, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.FollowStore(ctx) }()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(ended).WithTimeout(5 * time.Second).Should(Receive())
+		})
+		Eventually(store.read).WithTimeout(5 * time.Second).Should(Receive()) // until the first update comes
+		update := func() {
+			follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1, AsOf: time.Now().Add(-age)}, time.Time{})
+		}
+		update()
+		time.Sleep(time.Second) // for a read that had begun, and its pause
+		for len(store.read) > 0 {
+			<-store.read
+		}
+		for range 15 {
+			update()
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(len(store.read) > 0).To(Equal(reads))
+	},
+		Entry("an update of now", time.Duration(0), false),
+		Entry("an update of a second ago", time.Second, false),
+		Entry("an update of three seconds ago", 3*time.Second, true),
+	)
+})
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,10 +28,10 @@
 	// reader may wait.
 	changesTimeout = 2500 * time.Millisecond
 	readTimeout    = 4 * time.Second
-	// maxUpdateAge is how long after the last update of the reading host this host relies
-	// on it. It is longer than a call and a pause of the reading host; together with a
-	// call of its own it stays well within the 3 s in which a change must be in force.
-	maxUpdateAge = 1400 * time.Millisecond
+	// maxNewsAge is how long after the reading host asked the store this host relies on what
+	// it was told. It is longer than two calls and a pause of the reading host; together with
+	// a call of its own it stays well within the 3 s in which a change must be in force.
+	maxNewsAge = 2100 * time.Millisecond
 	// pollInterval is the interval at which a host checks whether to read the store itself.
 	pollInterval = 100 * time.Millisecond
 	// peerPause is the pause between two requests to other hosts while the store does not
@@ -56,6 +57,20 @@
 	// Partial means that there may be further changes that the update does not carry. After
 	// and Revision have no meaning then.
 	Partial bool
+	// AsOf is when the reading host asked the store, zero if that is not known. A recipient goes by the age
+	// that the sender states, which leaves out the time on the way.
+	AsOf time.Time `json:"-"`
+}
+
+// Then returns the update that brings the changes of u and then those of a later one, and false if there is
+// none. Full reads and the first updates after an outage say more than their changes.
+func (u Update) Then(later Update) (Update, bool) {
+	if u.FullRead || later.FullRead || u.StoreRecovered || later.StoreRecovered || u.Partial != later.Partial || !u.Partial && later.After > u.Revision {
+		return Update{}, false
+	}
+	later.After, later.Revision = u.After, max(u.Revision, later.Revision)
+	later.Events = slices.Concat(u.Events, later.Events)
+	return later, true
 }
 
 // PeerGroup is a group of hosts of which one reads the store for all.
@@ -70,7 +85,7 @@
 
 // Follower keeps a Catalogue up to date from the store, and from other hosts while the
 // store does not answer. One host of a group reads the store and sends updates to the
-// others. A host that has received no update for maxUpdateAge reads the store itself.
+// others. A host whose news is older than maxNewsAge reads the store itself.
 type Follower struct {
 	catalogue *Catalogue
 	reader    keyvalue.Reader
@@ -80,6 +95,7 @@
 	log       logr.Logger
 	available chan bool // whether the store answered the last call
 	updated   chan struct{}
+	relayedAt atomic.Pointer[time.Time] // when the reading host asked for what it last sent
 	contactAt atomic.Pointer[time.Time] // see LastContact
 }
 
@@ -104,8 +120,8 @@
 func (f *Follower) ForgetContact() { f.contactAt.Store(nil) }
 
 func (f *Follower) recordContact(asOf time.Time) {
-	if asOf.After(f.LastContact()) {
-		f.contactAt.Store(&asOf)
+	if !asOf.IsZero() {
+		advance(&f.contactAt, asOf)
 	}
 }
 
@@ -116,7 +132,7 @@
 	failed   bool      // the last call failed
 	nextCall time.Time // earliest time of the next call
 	restored bool      // the store has begun a new era since the last successful call
-	updated  time.Time // when another host last sent all changes
+	updated  time.Time // when another host asked for the changes that it last sent
 	reader   bool      // this host reads for its group
 }
 
@@ -132,7 +148,7 @@
 		if state.first && f.catalogue.Snapshot().Revision > 0 {
 			state.fullRead, state.first, state.updated = false, false, now // another host sent the full state
 		}
-		if !now.Before(state.nextCall) && (state.fullRead || state.reader || now.Sub(state.updated) > maxUpdateAge) {
+		if !now.Before(state.nextCall) && (state.fullRead || state.reader || now.Sub(state.updated) > maxNewsAge) {
 			state = f.readOnce(ctx, state)
 			state.nextCall = f.clock.Now().Add(f.pause(state))
 		}
@@ -143,7 +159,7 @@
 			if state.failed {
 				f.log.Info("Another host reads the store for this one.", "Revision", f.catalogue.Snapshot().Revision)
 			}
-			state.failed, state.updated = false, f.clock.Now()
+			state.failed, state.updated = false, *f.relayedAt.Load()
 			f.setAvailable(true)
 		case <-f.clock.After(pollInterval):
 		}
@@ -165,8 +181,8 @@
 
 // HandleUpdate applies an update from the host that reads the store. A host that has missed
 // an earlier update applies the events without adopting the revision; it reads the store
-// itself once maxUpdateAge is over. The update has all changes until asOf, zero if that is not
-// known.
+// itself once its news is older than maxNewsAge. The update has all changes until asOf, zero if that
+// is not known.
 func (f *Follower) HandleUpdate(u Update, asOf time.Time) UpdateResult {
 	if u.Partial {
 		if events := f.catalogue.Apply(u.Events, 0, FromOtherReader); len(events) > 0 {
@@ -189,6 +205,10 @@
 		f.catalogue.Apply(u.Events, u.Revision, FromReader)
 	}
 	f.recordContact(asOf)
+	if u.AsOf.IsZero() {
+		u.AsOf = f.clock.Now()
+	}
+	advance(&f.relayedAt, u.AsOf)
 	select {
 	case f.updated <- struct{}{}:
 	default:
@@ -196,6 +216,16 @@
 	return Adopted
 }
 
+// advance sets a time unless a later one is set.
+func advance(p *atomic.Pointer[time.Time], at time.Time) {
+	for {
+		old := p.Load()
+		if old != nil && !at.After(*old) || p.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
 // readOnce makes one call to the store and returns the state after it.
 func (f *Follower) readOnce(ctx context.Context, s readState) readState {
 	read := f.readChanges
@@ -238,6 +268,7 @@
 func (f *Follower) readAll(ctx context.Context, s readState) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	asked := f.clock.Now()
 	after := f.catalogue.Snapshot().Revision
 	page, err := f.reader.Read(ctx)
 	if err != nil {
@@ -251,7 +282,7 @@
 	if after == 0 {
 		update = Update{After: page.Revision, Revision: page.Revision} // hosts with an older revision read the store themselves
 	}
-	update.StoreRecovered = recovering
+	update.StoreRecovered, update.AsOf = recovering, asked
 	f.broadcast(update)
 	return nil
 }
@@ -259,6 +290,7 @@
 func (f *Follower) readChanges(ctx context.Context, s readState) error {
 	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
+	asked := f.clock.Now()
 	after := f.catalogue.Snapshot().Revision
 	events, revision, err := f.reader.Changes(ctx, after)
 	if err != nil {
@@ -268,7 +300,7 @@
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
-	f.broadcast(Update{After: after, Revision: revision, Events: f.catalogue.ApplyFromStore(events, after, revision), StoreRecovered: recovering})
+	f.broadcast(Update{After: after, Revision: revision, Events: f.catalogue.ApplyFromStore(events, after, revision), StoreRecovered: recovering, AsOf: asked})
 	return nil
 }
 
--- a/internal/catalogue/revisions_test.go
+++ b/internal/catalogue/revisions_test.go
@@ -86,8 +86,8 @@
 
 // delivery is an update on its way to a host.
 type delivery struct {
-	to     int
-	update catalogue.Update
+	from, to int
+	update   catalogue.Update
 }
 
 // describe returns an update as text.
@@ -126,7 +126,7 @@
 func (r *replica) Broadcast(u catalogue.Update) {
 	for i := range r.group.hosts {
 		if i != r.index {
-			r.group.sent = append(r.group.sent, delivery{to: i, update: u})
+			r.group.sent = append(r.group.sent, delivery{from: r.index, to: i, update: u})
 		}
 	}
 }
@@ -243,6 +243,7 @@
 		"deliver":                    func(*rapid.T) { s.deliver() },
 		"read all":                   func(*rapid.T) { s.readAll() },
 		"read changes":               func(*rapid.T) { s.readChanges() },
+		"join":                       func(*rapid.T) { s.join() },
 		"tell of operators' changes": func(*rapid.T) { s.deliverPartially() },
 		"fetch from peer":            func(*rapid.T) { s.fetch() },
 		"target says that it leaves": func(*rapid.T) { s.announce() },
@@ -304,6 +305,26 @@
 	s.group.hosts[d.to].follower.HandleUpdate(d.update, time.Time{})
 }
 
+// join joins an update with the next one from its sender to its recipient, as a sender does whose recipient hangs.
+func (s *series) join() {
+	if len(s.group.sent) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.group.sent)-1).Draw(s.T, "update")
+	first, later := s.group.sent[i], s.group.sent[i+1:]
+	k := slices.IndexFunc(later, func(d delivery) bool { return d.from == first.from && d.to == first.to })
+	if k < 0 {
+		return
+	}
+	joined, ok := first.update.Then(later[k].update)
+	if !ok {
+		return
+	}
+	s.step("joined for host %d: %s", first.to, describe(joined))
+	s.group.sent[i].update = joined
+	s.group.sent = slices.Delete(s.group.sent, i+1+k, i+2+k)
+}
+
 // deliverPartially hands over the changes of operators in an update, as hosts of other data centres do.
 func (s *series) deliverPartially() {
 	if len(s.group.sent) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 //	storecontact.go answers of the store to other hosts
 //	newer.go        configurations that another host has before this one
 //	updates.go      store updates that one host reads for its data centre
+//	outbox.go       updates that wait for other hosts
 //	peers.go        requests between hosts
 //	observe.go      metrics, state dump and the log line of a call
 //	events.go       reader of event streams
@@ -123,6 +124,7 @@
 	suspectedCrashes   *ring.Queue[suspectedCrash]
 	clearances         *ring.Queue[dueClearance]
 	updates            *ring.Queue[catalogue.Update]
+	outboxes           *outboxes
 	newerHosts         *ring.Queue[newerHost]
 	doubtsRaised       chan struct{} // wakes checkHealth
 	pathsSuspected     chan struct{} // wakes probePaths
@@ -226,7 +228,7 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, sinceBoot: clock.SinceBoot, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -18,14 +18,11 @@
 
 const (
 	pathPeerUpdate = "/peer/news"
-	// maxQueuedUpdates bounds the updates that wait to be sent. Hosts that miss some read the
-	// store themselves.
+	// maxQueuedUpdates bounds the updates that wait to be sent.
 	maxQueuedUpdates = 8
-	// updateTimeout bounds the request to one host, so that a host that hangs does not delay
-	// the next update for long.
+	// updateTimeout bounds the request to one host, so that a host that hangs gets the next
+	// update soon after it goes on.
 	updateTimeout = 300 * time.Millisecond
-	// maxConcurrentUpdates bounds the hosts to which an update is sent concurrently.
-	maxConcurrentUpdates = 8
 	// storeReaderKey is the rendezvous hashing key that selects a data centre's store reader.
 	storeReaderKey = "\x00store reader"
 )
@@ -73,42 +70,78 @@
 // broadcastUpdates sends store updates to other hosts until ctx is done. Hosts of the own
 // data centre get every update, and the store readers of other data centres get the changes
 // made by operators, so that a configuration takes effect in all regions at nearly the same
-// time.
+// time. No host waits for another one.
 func (g *Gateway) broadcastUpdates(ctx context.Context) error {
+	var group errgroup.Group
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return group.Wait()
 		case u := <-g.updates.Items():
-			g.broadcast(ctx, u)
+			for _, m := range g.queueUpdate(u) {
+				group.Go(func() error {
+					g.sendQueued(ctx, m)
+					return nil
+				})
+			}
 		}
 	}
 }
 
-func (g *Gateway) broadcast(ctx context.Context, u catalogue.Update) {
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxConcurrentUpdates)
+// queueUpdate queues an update for each host that is to get it. It returns the hosts with queued updates to
+// which none is being sent.
+func (g *Gateway) queueUpdate(u catalogue.Update) []member.Info {
 	operatorUpdate := catalogue.Update{Events: g.operatorEvents(u.Events), Partial: true}
+	alive := map[string]bool{}
+	var out []member.Info
 	for _, m := range g.gossip.View().Members {
-		update := u
-		switch {
-		case m.Host == g.settings.Host || m.Status != member.Alive:
-			continue
-		case m.DataCentre == g.settings.DataCentre:
-		case len(operatorUpdate.Events) > 0 && g.storeReaderOf(m.DataCentre) == m.Host:
-			update = operatorUpdate
-		default:
+		if m.Host == g.settings.Host || m.Status != member.Alive {
 			continue
 		}
-		group.Go(func() error {
-			if err := g.sendUpdate(ctx, m, update); err != nil {
-				g.log.Info("A store update did not reach a host.", "To", m.Host, "Revision", update.Revision, "Error", err.Error())
-				g.metrics.add("news_lost_total", 1)
-			}
-			return nil // the host reads the store itself
-		})
+		alive[m.Host] = true
+		if m.DataCentre == g.settings.DataCentre {
+			g.putUpdate(m.Host, u)
+		} else if len(operatorUpdate.Events) > 0 && g.storeReaderOf(m.DataCentre) == m.Host {
+			g.putUpdate(m.Host, operatorUpdate)
+		}
+		if g.outboxes.Begin(m.Host) {
+			out = append(out, m)
+		}
 	}
-	_ = group.Wait() // the functions return no error
+	g.outboxes.Retain(alive)
+	return out
+}
+
+// putUpdate queues an update for a host. A host for which too much waits reads the store itself.
+func (g *Gateway) putUpdate(host string, u catalogue.Update) {
+	if !g.outboxes.Put(host, u) {
+		g.metrics.add("news_dropped_total", 1)
+		g.log.Info("Store updates for a host were dropped, as too many wait.", "To", host, "Revision", u.Revision)
+	}
+}
+
+// sendQueued sends the updates that are queued for a host until one fails, which then waits for the next update.
+func (g *Gateway) sendQueued(ctx context.Context, to member.Info) {
+	for {
+		u, ok := g.outboxes.Take(to.Host)
+		if !ok {
+			return
+		}
+		if err := g.sendUpdate(ctx, to, u); err != nil {
+			waiting := g.outboxes.Return(to.Host, u)
+			g.log.Info("A store update did not reach a host.", "To", to.Host, "Revision", u.Revision, "AgeMs", g.ageMs(u), "Waiting", waiting, "Error", err.Error())
+			g.metrics.add("news_lost_total", 1)
+			return
+		}
+	}
+}
+
+// ageMs returns the time since the store was asked for an update, 0 if that is not known.
+func (g *Gateway) ageMs(u catalogue.Update) int64 {
+	if u.AsOf.IsZero() {
+		return 0
+	}
+	return g.clock.Now().Sub(u.AsOf).Milliseconds()
 }
 
 // operatorEvents returns the events that are no reports of targets.
@@ -134,12 +167,11 @@
 }
 
 func (g *Gateway) newUpdateMessage(to string, u catalogue.Update) updateMessage {
-	contact := g.follower.LastContact()
+	m := updateMessage{Update: u, AgeMs: g.ageMs(u)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := updateMessage{Update: u}
-	if last, ok := g.lastMessages[to]; ok && !contact.IsZero() {
-		m.AgeMs, m.Heard, m.HeardIncarnation = g.clock.Now().Sub(contact).Milliseconds(), last.report, last.incarnation
+	if last, ok := g.lastMessages[to]; ok && !u.AsOf.IsZero() {
+		m.Heard, m.HeardIncarnation = last.report, last.incarnation
 	}
 	return m
 }
@@ -198,6 +230,9 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	if m.AgeMs > 0 {
+		m.AsOf = g.clock.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond)
+	}
 	result := g.follower.HandleUpdate(m.Update, g.asOf(m))
 	g.metrics.add(fmt.Sprintf("updates_total{result=%q}", result), 1)
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
