internal/gateway: bound the bytes of the updates that are being sent

With an update of its own for each host, a configuration of 1 MB would be encoded for up to 49 hosts of a data centre at once: 65 MB, where the smallest host has 136 MB in all. The bodies that are being sent share 8 MB now, so small updates are not held up, and long ones are sent six at a time. The spec checks that the size that is reserved is no less than that of the body.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -125,6 +126,7 @@
 	clearances         *ring.Queue[dueClearance]
 	updates            *ring.Queue[catalogue.Update]
 	outboxes           *outboxes
+	updateBytes        *semaphore.Weighted // of the updates that are being sent
 	newerHosts         *ring.Queue[newerHost]
 	doubtsRaised       chan struct{} // wakes checkHealth
 	pathsSuspected     chan struct{} // wakes probePaths
@@ -228,7 +230,7 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, sinceBoot: clock.SinceBoot, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), updateBytes: semaphore.NewWeighted(maxUpdateBytes), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
--- a/internal/gateway/outbox_test.go
+++ b/internal/gateway/outbox_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,3 +65,21 @@
 	o.Retain(map[string]bool{"slow": true})
 	g.Expect(o.Begin("other")).To(BeFalse())
 }
+
+// Guards against a long configuration that is sent to all hosts of a data centre at once and exceeds the memory of
+// the host.
+func TestUpdateSizeBoundsTheBody(t *testing.T) {
+	g := NewWithT(t)
+	u := catalogue.Update{After: 1 << 60, Revision: 1 << 61, FullRead: true, StoreRecovered: true}
+	for range 100 {
+		key := strings.Repeat("k", 200)
+		u.Keys = append(u.Keys, key)
+		u.Events = append(u.Events, keyvalue.Event{Deleted: true, Entry: keyvalue.Entry{
+			Key: key, Value: make([]byte, 10_001), CreateRevision: 1 << 61, ModRevision: 1 << 61, Lease: 1 << 61,
+		}})
+	}
+	body, err := json.Marshal(updateMessage{Update: u, AgeMs: 1 << 40, Heard: 1 << 60, HeardIncarnation: 1 << 60})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(updateSize(u)).To(BeNumerically(">=", len(body)))
+	g.Expect(updateSize(u)).To(BeNumerically("<", 2*len(body)))
+}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -23,6 +24,13 @@
 	// updateTimeout bounds the request to one host, so that a host that hangs gets the next
 	// update soon after it goes on.
 	updateTimeout = 300 * time.Millisecond
+	// maxUpdateBytes bounds the bodies of the updates that are being sent, a part of the memory of the
+	// smallest host: a configuration of the longest value takes a sixth of it.
+	maxUpdateBytes = 8 << 20
+	// updateOverhead and eventOverhead are at least what an update and an event take besides values, keys
+	// and the keys of a full read.
+	updateOverhead = 512
+	eventOverhead  = 256
 	// storeReaderKey is the rendezvous hashing key that selects a data centre's store reader.
 	storeReaderKey = "\x00store reader"
 )
@@ -214,6 +222,11 @@
 }
 
 func (g *Gateway) sendUpdate(ctx context.Context, to member.Info, u catalogue.Update) error {
+	size := min(updateSize(u), maxUpdateBytes)
+	if err := g.updateBytes.Acquire(ctx, size); err != nil {
+		return err
+	}
+	defer g.updateBytes.Release(size)
 	body, err := json.Marshal(g.newUpdateMessage(to.Host, u))
 	if err != nil {
 		return err
@@ -223,6 +236,18 @@
 	return g.callPeer(ctx, to.PeerAddress, pathPeerUpdate, body, nil)
 }
 
+// updateSize returns a bound on the length of an update as it is sent.
+func updateSize(u catalogue.Update) int64 {
+	size := updateOverhead
+	for _, e := range u.Events {
+		size += eventOverhead + len(e.Key) + base64.StdEncoding.EncodedLen(len(e.Value))
+	}
+	for _, key := range u.Keys {
+		size += len(key) + len(`"",`)
+	}
+	return int64(size)
+}
+
 // serveUpdate handles a store update of another host.
 func (g *Gateway) serveUpdate(ctx *fasthttp.RequestCtx) {
 	var m updateMessage
