internal/exchange: read the head of a response by the grammar of HTTP

The caller got it as an answer: 200 for status 000, the faulty line passed on, or a body that ended where "Content-Length : 4" said so, as if the blank were not there. A promise of "not run" in such a head was passed on as 503.

Cause: the head was read by the lenient parser of a server library, and later code relied on what that left in the parsed header. Class: input is taken by what a parser makes of it, not by what the peer may send.

Change: one strict reader of heads (RFC 9110, RFC 9112: status line, three digits from 100 to 599, token ":" OWS value, framing that does not contradict itself; trailers too), in the pool that reads every response: targets, hosts, the store, health checks, lists, operators and clients. Only lines that it accepted reach the parsed header, which states HTTP/1.1 whatever the peer's version. A head outside the grammar ends the exchange with kind Malformed: outcome unknown, 502, connection closed, counted by malformed_responses_total and logged with address and offence. It is never a promise of "not run".

Not kept: a list of forbidden forms on top of the old parser, which would miss the next form.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,19 +119,19 @@
 	}
 	d.callerLimiter = link.NewLimiter(d.clock, link.WithMaxConns(link.Descriptors(0)/callerDescriptorShare), link.WithIdleTimeout(idleTimeout))
 	d.incarnation = d.clock.Now().UnixMilli()
-	d.targetPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID))
-	d.forwardPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID))
+	d.targetPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID), d.onMalformed("target"))
+	d.forwardPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID), d.onMalformed("host"))
 	d.controlBytes = link.NewCounter(d.network)
-	d.controlPool = exchange.NewPool(d.controlBytes)
+	d.controlPool = exchange.NewPool(d.controlBytes, d.onMalformed("host"))
 	d.targetClient = attempt.NewClient(d.targetPool)
 	d.forwardClient = attempt.NewClient(d.forwardPool)
 	d.signer = seal.New(s.FleetKeys...)
 	d.digester = seal.New(s.ClaimSecret)
-	d.store = etcd.NewClient(exchange.NewPool(d.controlBytes), s.StoreAddresses)
+	d.store = etcd.NewClient(exchange.NewPool(d.controlBytes, d.onMalformed("store")), s.StoreAddresses)
 	d.ledger = ledger.New(d.store, d.clock.Now)
 	d.dispatcher = dispatch.New(d.clock, d.placementOptions(config.DefaultLimits()), rand.Uint64())
 	d.placingBytes = link.NewCounter(d.network)
-	d.placingPool = exchange.NewPool(d.placingBytes)
+	d.placingPool = exchange.NewPool(d.placingBytes, d.onMalformed("host"))
 	d.placerServer = placer.NewServer(d.dispatcher, d.clock)
 	d.placerClient = placer.NewClient(d.instanceID(), d.dispatcher, d.clock, d.postToPlacer, d.placingHost)
 	d.committer = claim.NewCommitter(d.store, d.clock, claimRetention)
@@ -142,6 +142,14 @@
 	return d, d.listen()
 }
 
+// onMalformed counts and logs the responses of a kind of peer that are outside the grammar of HTTP.
+func (d *Daemon) onMalformed(from string) exchange.Option {
+	return exchange.WithOnMalformed(func(address string, err error) {
+		d.metrics.add(countMalformed, 1)
+		d.log.Info("A response is outside the grammar of HTTP.", "From", from, "Address", address, "Offence", err.Error())
+	})
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.callerListener, err = d.network.Listen(d.settings.CallerAddress); err != nil {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -40,4 +40,5 @@
 	countHangUps   = "HangUps"
 	countEvents    = "StreamEvents"
 	countReplays   = "ReplayedAnswers"
+	countMalformed = "MalformedResponses"
 )
--- a/internal/exchange/error.go
+++ b/internal/exchange/error.go
@@ -17,13 +17,16 @@
 	Incomplete
 	// TooLarge means that the body exceeds the reader's limit or the memory budget.
 	TooLarge
+	// Malformed means that the request may have reached the peer, and that what it sent is no response by the
+	// grammar of HTTP.
+	Malformed
 	// Withdrawn means that the sender decided not to send the request after all.
 	Withdrawn
 )
 
 // String returns the text of the kind in error messages.
 func (k Kind) String() string {
-	return [...]string{"unsent", "unanswered", "broken answer", "answer too large", "withdrawn"}[k]
+	return [...]string{"unsent", "unanswered", "broken answer", "answer too large", "malformed answer", "withdrawn"}[k]
 }
 
 // Error is the error type of the package.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -17,6 +17,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiarack/sequoiarack/internal/failure"
 )
 
 const (
@@ -45,6 +47,7 @@
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
 	repeatAfter    time.Duration // see WithRepeat; 0 for never
 	onRepeat       func()
+	onMalformed    func(address string, err error) // nil for none
 
 	sent atomic.Uint64 // requests, if numbered
 
@@ -86,6 +89,11 @@
 // closes the connection. When the connection is reset, the body counts as incomplete.
 func WithCloseDelimited() Option { return func(p *Pool) { p.closeDelimited = true } }
 
+// WithOnMalformed sets a function that is called for each response that fails with kind Malformed.
+func WithOnMalformed(f func(address string, err error)) Option {
+	return func(p *Pool) { p.onMalformed = f }
+}
+
 // WithOpenTimeout bounds the time to open a connection.
 func WithOpenTimeout(d time.Duration) Option { return func(p *Pool) { p.openTimeout = d } }
 
@@ -176,11 +184,22 @@
 	response := &Response{pool: p, conn: c, stop: stop, noReuse: sendErr != nil}
 	if err := response.readMatchingHeader(request); err != nil {
 		response.abandon()
-		return nil, wrap(op, Unanswered, errors.WithMessagef(err, "sent whole: %t", sendErr == nil))
+		kind := Unanswered
+		if cause, _ := failure.KindOf[Kind](err); cause == Malformed {
+			kind = Malformed
+			p.reportMalformed(c.address, err)
+		}
+		return nil, wrap(op, kind, errors.WithMessagef(err, "sent whole: %t", sendErr == nil))
 	}
 	return response, nil
 }
 
+func (p *Pool) reportMalformed(address string, err error) {
+	if p.onMalformed != nil {
+		p.onMalformed(address, err)
+	}
+}
+
 // Limits on what a peer may send around a response. Each part is valid HTTP by itself,
 // so without limits a faulty peer could keep a connection busy for ever.
 const (
@@ -421,11 +440,13 @@
 // readHeader reads the next final response header and skips interim (1xx) responses.
 func (r *Response) readHeader(head bool) error {
 	for range maxInterimResponses {
-		if err := r.Header.Read(r.conn.reader); err != nil {
+		body, persists, err := readHead(r.conn.reader, &r.Header)
+		if err != nil {
 			return err
 		}
 		if r.Header.StatusCode() >= fasthttp.StatusOK {
-			r.body = r.bodyReader(head)
+			r.noReuse = r.noReuse || !persists
+			r.body = r.bodyReader(head, body)
 			return nil
 		}
 	}
@@ -433,15 +454,14 @@
 }
 
 // bodyReader returns the reader of the body by the framing that the header declares.
-func (r *Response) bodyReader(head bool) io.Reader {
-	length := r.Header.ContentLength()
+func (r *Response) bodyReader(head bool, body framing) io.Reader {
 	status := r.Header.StatusCode()
 	switch {
-	case head, status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified, length == 0:
+	case head, status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified, body.hasLength && body.length == 0:
 		return noBody{}
-	case length > 0:
-		return &fixedLengthReader{from: r.conn.reader, remaining: length}
-	case length == lengthChunked:
+	case body.hasLength:
+		return &fixedLengthReader{from: r.conn.reader, remaining: body.length}
+	case body.chunked:
 		return &chunkedReader{from: r.conn.reader, chunks: httputil.NewChunkedReader(r.conn.reader)}
 	default:
 		r.noReuse = true
@@ -449,9 +469,6 @@
 	}
 }
 
-// lengthChunked is the content length that fasthttp reports for a chunked body.
-const lengthChunked = -1
-
 // noBody is the reader of an empty body.
 type noBody struct{}
 
@@ -495,13 +512,19 @@
 		return n, err
 	}
 	for range maxTrailerLines {
-		line, lineErr := c.from.ReadSlice('\n')
-		if lineErr != nil {
+		line, lineErr := readLine(c.from)
+		if errors.Is(lineErr, io.EOF) {
 			return n, io.ErrUnexpectedEOF
 		}
-		if len(line) <= len("\r\n") {
+		if lineErr != nil {
+			return n, lineErr
+		}
+		if len(line) == 0 {
 			return n, io.EOF
 		}
+		if _, _, err := cutField(line); err != nil {
+			return n, err
+		}
 	}
 	return n, errors.New("a trailer without end")
 }
@@ -594,7 +617,7 @@
 		return
 	}
 	r.state = bodyEnded
-	if !r.stop() || r.noReuse || r.Header.ConnectionClose() || r.conn.reader.Buffered() > 0 || len(r.conn.carried) >= maxRequestsPerConn {
+	if !r.stop() || r.noReuse || r.conn.reader.Buffered() > 0 || len(r.conn.carried) >= maxRequestsPerConn {
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -246,10 +247,10 @@
 	g.started = g.clock.Now()
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
 	g.callers = g.newLimiter("caller server", callerShare)
-	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime))
-	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
-	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber))
-	g.storePool = exchange.NewPool(g.network, exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }))
+	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
+	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
+	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
+	g.storePool = exchange.NewPool(g.network, exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
 	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes)
 	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes)
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
@@ -258,6 +259,14 @@
 	return g, g.listen()
 }
 
+// onMalformed counts and logs the responses of a kind of peer that are outside the grammar of HTTP.
+func (g *Gateway) onMalformed(from string) exchange.Option {
+	return exchange.WithOnMalformed(func(address string, err error) {
+		g.metrics.add(fmt.Sprintf("malformed_responses_total{from=%q}", from), 1)
+		g.log.Info("A response is outside the grammar of HTTP.", "From", from, "Address", address, "Offence", err.Error())
+	})
+}
+
 func (g *Gateway) listen() error {
 	handlers := []struct {
 		name, address string
