internal/exchange: take no body without a length for whole after a failed write

The caller got the part as a whole answer.

Cause: the system reports a reset once. The write that was under way got the error, and was forgiven, as a peer may answer before it has read the request. The read after it returned what had arrived and then an end, as after an orderly close, which ends a body without a length. Class: an error is consumed in one place and its absence taken for a proof in another.

Change: a body without a length is whole only if the whole request had been written. Bodies with a length or in chunks tell their end themselves and stay as they were.

Conclusion: a target that closes its half in order, without reading the request, and is then written to is no longer believed either: the two cannot be told apart on every system.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -86,7 +86,8 @@
 }
 
 // WithCloseDelimited accepts a body without a declared length as complete when the peer
-// closes the connection. When the connection is reset, the body counts as incomplete.
+// closes the connection. When the connection is reset, or was lost while the request was
+// being written, the body counts as incomplete.
 func WithCloseDelimited() Option { return func(p *Pool) { p.closeDelimited = true } }
 
 // WithOnMalformed sets a function that is called for each response that fails with kind Malformed.
@@ -181,7 +182,7 @@
 	}
 	// A peer may respond and close the connection before it has read a long request, so
 	// a response is read even after a failed write.
-	response := &Response{pool: p, conn: c, stop: stop, noReuse: sendErr != nil}
+	response := &Response{pool: p, conn: c, stop: stop, noReuse: sendErr != nil, sentWhole: sendErr == nil}
 	if err := response.readMatchingHeader(request); err != nil {
 		response.abandon()
 		kind := Unanswered
@@ -427,6 +428,8 @@
 	body    io.Reader
 	state   bodyState
 	noReuse bool // the connection is closed after the exchange
+	// sentWhole is set if the whole request was written.
+	sentWhole bool
 }
 
 type bodyState int
@@ -465,7 +468,8 @@
 		return &chunkedReader{from: r.conn.reader, chunks: httputil.NewChunkedReader(r.conn.reader)}
 	default:
 		r.noReuse = true
-		return &closeDelimitedReader{from: r.conn.reader, closeEndsBody: r.pool.closeDelimited}
+		// The system reports a reset once. If a write got the error, reads end as after an orderly close.
+		return &closeDelimitedReader{from: r.conn.reader, closeEndsBody: r.pool.closeDelimited && r.sentWhole}
 	}
 }
 
