internal/gateway: say which regions the directory names and where calls with homes go

The users saw calls outside their homes and kept no logs, and ours could not tell apart a directory that names a region outside the homes, a call forwarded there, and a target elsewhere than believed. Now each answer of the directory that names no host of the caller's region is logged with what it went by (homes, version, known hosts, live regions, uptime), each forwarded call of a route with homes with version and region of both ends, and a call that comes to a region that may not serve its route at the receiver; with counters for each. No decision changes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -71,6 +72,7 @@
 	if !c.chargeRetryBudget() {
 		return nil, result{outcome: c.outcomeWithoutRetry(), reason: "the budget for repeats is spent", last: true}
 	}
+	c.recordForward(host)
 	a := c.newAttempt(c.remaining(), "")
 	request := c.newRegionRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -85,6 +87,23 @@
 	return a.readForwardResponse(host, response)
 }
 
+// recordForward counts a call that is sent to another host, and logs one that not every region may serve.
+func (c *activeCall) recordForward(to member.Info) {
+	g, restricted := c.gateway, len(c.route.HomeRegions) > 0
+	g.metrics.add(fmt.Sprintf("forwarded_calls_total{region=%q,homes=\"%t\"}", to.Region, restricted), 1)
+	if restricted {
+		g.log.Info("A call with home regions is forwarded.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions, "Version", c.version,
+			"Region", g.settings.Region, "To", to.Host, "ToRegion", to.Region, "Repeat", c.arrivals > 0)
+	}
+}
+
+// recordOutsideHomes counts and logs a forwarded call whose route this region may not serve.
+func (c *activeCall) recordOutsideHomes(passed core.Hops, senderVersion uint64) {
+	c.gateway.metrics.add("forwarded_calls_outside_homes_total", 1)
+	c.gateway.log.Info("A call came to a region that may not serve its route.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions,
+		"Version", c.version, "From", passed.String(), "FromVersion", senderVersion)
+}
+
 func (c *activeCall) newRegionRequest() *fasthttp.Request {
 	request := c.copyRequest()
 	h := &request.Header
@@ -277,6 +296,9 @@
 		return
 	}
 	senderVersion, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
+	if !c.route.MayServe(g.settings.Region) {
+		c.recordOutsideHomes(passed, senderVersion)
+	}
 	if err != nil || senderVersion > c.version {
 		g.noteNewerHost(passed, senderVersion)
 		ctx.Response.Header.Set(headerOutdated, "1")
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -167,7 +168,9 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	addresses := g.directoryAddresses(g.protocol.ReadDirectoryQuery(ctx.QueryArgs()))
+	query := g.protocol.ReadDirectoryQuery(ctx.QueryArgs())
+	region, addresses := g.directoryAddresses(query)
+	g.recordDirectoryAnswer(query, region, len(addresses))
 	body, err := g.protocol.WriteDirectory(addresses, g.settings.directoryTTL())
 	if err != nil || len(addresses) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -178,13 +181,32 @@
 	g.closeWhenLeaving(ctx)
 }
 
-// directoryAddresses returns the caller addresses of the hosts that a caller is to use: those
+// recordDirectoryAnswer counts a response of the directory, and logs one that names another region than the
+// caller's, or none.
+func (g *Gateway) recordDirectoryAnswer(q DirectoryQuery, region string, hosts int) {
+	named := "none"
+	switch {
+	case hosts > 0 && region == q.Region:
+		named = "own"
+	case hosts > 0:
+		named = "other"
+	}
+	g.metrics.add(fmt.Sprintf("directory_answers_total{region=%q}", named), 1)
+	if named == "own" {
+		return
+	}
+	g.log.Info("The directory names no host of the caller's region.", "Name", q.Name, "CallerRegion", q.Region, "Region", region, "Hosts", hosts,
+		"Homes", g.homeRegionCounts(q.Name), "Version", g.configurationVersion(), "KnownHosts", len(g.gossip.View().Members),
+		"LiveRegions", g.liveRegions(), "UptimeMs", g.clock.Now().Sub(g.started).Milliseconds())
+}
+
+// directoryAddresses returns the caller addresses of the hosts that a caller is to use, and their region: those
 // of its data centre if there are enough, else those of its region, else those of the region
 // that may serve most restricted routes of the queried name.
-func (g *Gateway) directoryAddresses(q DirectoryQuery) []string {
+func (g *Gateway) directoryAddresses(q DirectoryQuery) (region string, addresses []string) {
 	byDataCentre, byRegion := g.callerAddresses()
 	if own := byDataCentre[q.DataCentre]; len(own) >= minDataCentreHosts {
-		return own[:min(len(own), maxDirectoryHosts)]
+		return g.settings.DataCentres[q.DataCentre], own[:min(len(own), maxDirectoryHosts)]
 	}
 	regions := slices.Sorted(maps.Keys(byRegion))
 	homes := g.homeRegionCounts(q.Name)
@@ -193,10 +215,10 @@
 			trueFirst(a == g.settings.Region, b == g.settings.Region))
 	})
 	if len(regions) == 0 {
-		return nil
+		return "", nil
 	}
-	addresses := byRegion[regions[0]]
-	return addresses[:min(len(addresses), maxDirectoryHosts)]
+	addresses = byRegion[regions[0]]
+	return regions[0], addresses[:min(len(addresses), maxDirectoryHosts)]
 }
 
 // trueFirst compares two booleans so that true sorts before false.
