internal/gateway: let the directory name no region outside the homes of a name

Cause: the directory answered with whatever hosts it knew, ordered by preference. A host that has just started, or wakes, knows itself only, perhaps without a configuration, and named itself. Class: a preference among what is known stands in for a permission.

Change: hosts of the caller's region as before; else only of a region that may serve every route of the name, by the configuration. Names without restricted routes go to any region, as before. Where the routes of a name have different homes, the region that serves most of them is no longer named, as the bodies of the others may not go there.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -201,35 +200,36 @@
 }
 
 // directoryAddresses returns the caller addresses of the hosts that a caller is to use, and their region: those
-// of its data centre if there are enough, else those of its region, else those of the region
-// that may serve most restricted routes of the queried name.
+// of its data centre if there are enough, else those of its region, else those of a region to which
+// the body of any call to the queried name may go. It returns none if this host knows none of them.
 func (g *Gateway) directoryAddresses(q DirectoryQuery) (region string, addresses []string) {
 	byDataCentre, byRegion := g.callerAddresses()
-	if own := byDataCentre[q.DataCentre]; len(own) >= minDataCentreHosts {
-		return g.settings.DataCentres[q.DataCentre], own[:min(len(own), maxDirectoryHosts)]
+	region, addresses = g.settings.DataCentres[q.DataCentre], byDataCentre[q.DataCentre]
+	if len(addresses) < minDataCentreHosts {
+		region, addresses = q.Region, byRegion[q.Region]
 	}
-	regions := slices.Sorted(maps.Keys(byRegion))
-	homes := g.homeRegionCounts(q.Name)
-	slices.SortStableFunc(regions, func(a, b string) int {
-		return cmp.Or(trueFirst(a == q.Region, b == q.Region), cmp.Compare(homes[b], homes[a]),
-			trueFirst(a == g.settings.Region, b == g.settings.Region))
-	})
-	if len(regions) == 0 {
-		return "", nil
+	if len(addresses) == 0 {
+		region = g.regionInPlaceOf(q, byRegion)
+		addresses = byRegion[region]
 	}
-	addresses = byRegion[regions[0]]
-	return regions[0], addresses[:min(len(addresses), maxDirectoryHosts)]
+	return region, addresses[:min(len(addresses), maxDirectoryHosts)]
 }
 
-// trueFirst compares two booleans so that true sorts before false.
-func trueFirst(a, b bool) int {
+// regionInPlaceOf returns the region whose hosts a caller is to use if its own has none, the host's own one
+// by preference, or an empty string if there is none.
+func (g *Gateway) regionInPlaceOf(q DirectoryQuery, byRegion map[string][]string) string {
+	table := g.catalogue.Snapshot().Table
+	if table == nil {
+		return ""
+	}
+	regions := slices.DeleteFunc(slices.Sorted(maps.Keys(byRegion)), func(region string) bool { return !table.MayServeAll(q.Name, region) })
 	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
+	case len(regions) == 0:
+		return ""
+	case slices.Contains(regions, g.settings.Region):
+		return g.settings.Region
 	default:
-		return 1
+		return regions[0]
 	}
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -46,6 +46,22 @@
 		Expect(table.HomeRegionCounts("shop.example")).To(Equal(map[string]int{"north": 1, "south": 2, "west": 1}))
 		Expect(table.HomeRegionCounts("other.example")).To(BeEmpty())
 	})
+
+	It("knows which regions may serve every route of a host", func() {
+		open := route.Route{Name: "b", PathPrefix: "/b/"}
+		table, err := route.NewTable(document(1, open,
+			route.Route{Name: "a", PathPrefix: "/a/", HomeRegions: []string{"north", "south"}},
+			route.Route{Name: "c", PathPrefix: "/c/", HomeRegions: []string{"south", "west"}}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.MayServeAll("shop.example", "south")).To(BeTrue())
+		Expect(table.MayServeAll("shop.example:8080", "south")).To(BeTrue())
+		Expect(table.MayServeAll("shop.example", "north")).To(BeFalse())
+		Expect(table.MayServeAll("shop.example", "east")).To(BeFalse())
+		Expect(table.MayServeAll("other.example", "south")).To(BeFalse())
+		table, err = route.NewTable(document(1, open))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.MayServeAll("shop.example", "east")).To(BeTrue())
+	})
 })
 
 var _ = Describe("a route", func() {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -56,12 +56,7 @@
 // Find returns the route of the host with the longest matching path prefix, or nil. The host
 // may include a port.
 func (t *Table) Find(host, path string) *Route {
-	list, ok := t.hosts[host]
-	if !ok {
-		name, _, _ := strings.Cut(host, ":")
-		list = t.hosts[name]
-	}
-	for _, r := range list {
+	for _, r := range t.routesOf(host) {
 		if strings.HasPrefix(path, r.PathPrefix) {
 			return r
 		}
@@ -69,6 +64,22 @@
 	return nil
 }
 
+// routesOf returns the routes of a host, which may include a port.
+func (t *Table) routesOf(host string) []*Route {
+	if list, ok := t.hosts[host]; ok {
+		return list
+	}
+	name, _, _ := strings.Cut(host, ":")
+	return t.hosts[name]
+}
+
+// MayServeAll reports whether a region may serve every route of a host. For a host without routes it
+// returns false.
+func (t *Table) MayServeAll(host, region string) bool {
+	list := t.routesOf(host)
+	return len(list) > 0 && !slices.ContainsFunc(list, func(r *Route) bool { return !r.MayServe(region) })
+}
+
 // LongestStream returns the longest time for which a stream lasts, or fallback if a streaming route
 // has no timeout.
 func (t *Table) LongestStream(fallback time.Duration) time.Duration {
@@ -85,7 +96,7 @@
 // routes that every region may serve.
 func (t *Table) HomeRegionCounts(host string) map[string]int {
 	counts := map[string]int{}
-	for _, r := range t.hosts[host] {
+	for _, r := range t.routesOf(host) {
 		for _, region := range r.HomeRegions {
 			counts[region]++
 		}
