internal/route: withhold the calls of a route that cannot be used

What callers saw (HOME): none yet; found while the paths of a call were searched. A route whose home_regions are no list of names, or that has another field of an unexpected type, was left out. A route of the same host with a shorter path prefix took its calls, and without homes of its own ran them in any region.

Cause: a part that cannot be decoded was taken for absent, and the routes that were left for the whole configuration. Class: what is not understood stands for "no restriction".

Change: the location of a route that cannot be used is withheld. Its calls are answered 503 as not run, by no route with a shorter prefix, and directories name no other region for its host.

Not covered: a route whose host or path cannot be read. Nothing says which calls are its own; it is left out and reported, as before.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -40,7 +40,7 @@
 }
 
 // newActiveCall reads the headers of a call and finds its route. Without a configuration or a
-// route it writes the response itself and returns nil.
+// route that can be used it writes the response itself and returns nil.
 func (g *Gateway) newActiveCall(ctx *fasthttp.RequestCtx, fromPeer bool) *activeCall {
 	call := g.protocol.ReadCall(&ctx.Request.Header)
 	table := g.catalogue.Snapshot().Table
@@ -51,6 +51,12 @@
 		return nil
 	}
 	r := table.Find(call.Host, pathOf(call.Target))
+	if r == nil && table.Withholds(call.Host, pathOf(call.Target)) {
+		g.log.Info("The route of a call cannot be used.", "ID", call.ID, "Host", call.Host, "Version", table.Version(), "Received", fromPeer)
+		g.metrics.add("calls_withheld_total", 1)
+		g.writeHostReply(ctx, reply{status: fasthttp.StatusServiceUnavailable, outcome: core.NotRun, reason: "the route cannot be used", retryAfter: g.settings.Policy.OutageRetryAfter(call.Deadline, g.random())})
+		return nil
+	}
 	if r == nil {
 		g.log.Info("A call has no route.", "ID", call.ID, "Host", call.Host, "Version", table.Version(), "NewsAgeMs", g.newsAgeMs(g.clock.Now()))
 		g.metrics.add("calls_without_route_total", 1)
--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -2,7 +2,11 @@
 // they lead to, and the limits on requests of callers. The package does no I/O.
 package route
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Kind is the kind of calls on a route. It determines whether a call may be repeated.
 type Kind int
@@ -92,10 +96,30 @@
 	IdleTimeout    time.Duration
 }
 
+// Location is the host and the path prefix of a route.
+type Location struct {
+	Host       string
+	PathPrefix string
+}
+
+// isWithholdable reports whether a call can match the location.
+func (l Location) isWithholdable() bool { return l.Host != "" && strings.HasPrefix(l.PathPrefix, "/") }
+
 // Document is one version of the configuration.
 type Document struct {
 	Version  uint64
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Withheld are the locations of routes that cannot be used. No region may serve their calls, by
+	// routes with shorter path prefixes either.
+	Withheld []Location
+}
+
+// WithWithheld returns a copy that also withholds a location, if calls can match it.
+func (d Document) WithWithheld(l Location) Document {
+	if l.isWithholdable() {
+		d.Withheld = append(slices.Clone(d.Withheld), l)
+	}
+	return d
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -64,6 +64,53 @@
 	})
 })
 
+// Guards against calls of a route that cannot be used, which a route with a shorter path prefix served
+// outside the homes of the first (HOME).
+var _ = Describe("a table with withheld routes", func() {
+	newTable := func() *route.Table {
+		d := document(1, route.Route{Name: "short", PathPrefix: "/a/"}, route.Route{Name: "same", PathPrefix: "/a/c/"},
+			route.Route{Name: "long", PathPrefix: "/a/b/x/", HomeRegions: []string{"north"}})
+		for _, prefix := range []string{"/a/b/", "/a/c/", "/d", "", "e/"} {
+			d = d.WithWithheld(route.Location{Host: "shop.example", PathPrefix: prefix})
+		}
+		table, err := route.NewTable(d.WithWithheld(route.Location{PathPrefix: "/a/"}))
+		Expect(err).NotTo(HaveOccurred())
+		return table
+	}
+
+	DescribeTable("finds no route in place of one that is withheld", func(path, name string, withheld bool) {
+		table := newTable()
+		for _, host := range []string{"shop.example", "shop.example:8080"} {
+			Expect(table.Withholds(host, path)).To(Equal(withheld))
+			r := table.Find(host, path)
+			Expect(r != nil).To(Equal(name != ""))
+			if r != nil {
+				Expect(r.Name).To(Equal(name))
+			}
+		}
+	},
+		Entry("a shorter prefix", "/a/x", "short", false),
+		Entry("the withheld prefix", "/a/b/y", "", true),
+		Entry("a longer prefix", "/a/b/x/y", "long", false),
+		Entry("a prefix that another route has, too", "/a/c/x", "", true),
+		Entry("a prefix without a slash at the end", "/d/x", "", true),
+		Entry("a path that begins with no prefix", "/x", "", false),
+		Entry("a prefix that no path begins with", "e/x", "", false),
+	)
+
+	It("lets no region serve all routes of the host", func() {
+		Expect(newTable().MayServeAll("shop.example", "north")).To(BeFalse())
+		Expect(newTable().HomeRegionCounts("shop.example")).To(Equal(map[string]int{"north": 1}))
+	})
+
+	It("has those of a document that have no service", func() {
+		d := document(1, route.Route{Name: "a", PathPrefix: "/a/", Splits: []route.Split{{}}})
+		usable, problems := route.Usable(d)
+		Expect(problems).NotTo(BeEmpty())
+		Expect(usable.Withheld).To(Equal([]route.Location{{Host: "shop.example", PathPrefix: "/a/"}}))
+	})
+})
+
 var _ = Describe("a route", func() {
 	It("picks the same service for the same call ID, and services by weight over many calls", func() {
 		r := route.Route{Splits: []route.Split{{Service: "desk", Weight: 90}, {Service: "other", Weight: 10}}}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -12,25 +12,34 @@
 // Table finds the route of a call. It is immutable.
 type Table struct {
 	document Document
-	hosts    map[string][]*Route // longest path prefix first
+	hosts    map[string][]entry // longest path prefix first
 	services map[string]*Service
 	// longestStream is the longest timeout of a streaming route, endlessStream whether one has none.
 	longestStream time.Duration
 	endlessStream bool
 }
 
+// entry is a path prefix of a host.
+type entry struct {
+	prefix string
+	route  *Route // nil if the route is withheld
+}
+
 // NewTable checks a document and returns its Table.
 func NewTable(d Document) (*Table, error) {
 	if err := Check(d); err != nil {
 		return nil, err
 	}
-	t := &Table{document: d, hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	t := &Table{document: d, hosts: map[string][]entry{}, services: map[string]*Service{}}
+	for _, l := range d.Withheld { // before the routes, of which one may have the same prefix
+		t.hosts[l.Host] = append(t.hosts[l.Host], entry{prefix: l.PathPrefix})
+	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		t.hosts[r.Host] = append(t.hosts[r.Host], entry{prefix: r.PathPrefix, route: r})
 	}
 	for _, list := range t.hosts {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+		slices.SortStableFunc(list, func(a, b entry) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
@@ -53,19 +62,31 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.document.Routes) }
 
-// Find returns the route of the host with the longest matching path prefix, or nil. The host
-// may include a port.
+// Find returns the route of the host with the longest matching path prefix, or nil if there is none or it
+// is withheld. The host may include a port.
 func (t *Table) Find(host, path string) *Route {
-	for _, r := range t.routesOf(host) {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r
+	e, _ := t.match(host, path)
+	return e.route
+}
+
+// Withholds reports whether the route that Find looks for is withheld.
+func (t *Table) Withholds(host, path string) bool {
+	e, ok := t.match(host, path)
+	return ok && e.route == nil
+}
+
+// match returns the entry of the host with the longest matching path prefix, and false if there is none.
+func (t *Table) match(host, path string) (entry, bool) {
+	for _, e := range t.entriesOf(host) {
+		if strings.HasPrefix(path, e.prefix) {
+			return e, true
 		}
 	}
-	return nil
+	return entry{}, false
 }
 
-// routesOf returns the routes of a host, which may include a port.
-func (t *Table) routesOf(host string) []*Route {
+// entriesOf returns the entries of a host, which may include a port.
+func (t *Table) entriesOf(host string) []entry {
 	if list, ok := t.hosts[host]; ok {
 		return list
 	}
@@ -73,11 +94,11 @@
 	return t.hosts[name]
 }
 
-// MayServeAll reports whether a region may serve every route of a host. For a host without routes it
-// returns false.
+// MayServeAll reports whether a region may serve every route of a host. It returns false for a host
+// without routes, or of which one is withheld.
 func (t *Table) MayServeAll(host, region string) bool {
-	list := t.routesOf(host)
-	return len(list) > 0 && !slices.ContainsFunc(list, func(r *Route) bool { return !r.MayServe(region) })
+	list := t.entriesOf(host)
+	return len(list) > 0 && !slices.ContainsFunc(list, func(e entry) bool { return e.route == nil || !e.route.MayServe(region) })
 }
 
 // LongestStream returns the longest time for which a stream lasts, or fallback if a streaming route
@@ -96,8 +117,11 @@
 // routes that every region may serve.
 func (t *Table) HomeRegionCounts(host string) map[string]int {
 	counts := map[string]int{}
-	for _, r := range t.routesOf(host) {
-		for _, region := range r.HomeRegions {
+	for _, e := range t.entriesOf(host) {
+		if e.route == nil {
+			continue
+		}
+		for _, region := range e.route.HomeRegions {
 			counts[region]++
 		}
 	}
--- a/internal/route/usable.go
+++ b/internal/route/usable.go
@@ -2,15 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
 // Usable returns what can be used of a document, and the wrong fields that it corrects or whose routes
 // and services it leaves out. The document that it returns passes Check unless its version is zero. Routes
-// are left out only if no call can be routed by them.
+// are left out only if no call can be routed by them, and withheld if calls can match them.
 func Usable(d Document) (Document, Problems) {
 	var problems Problems
-	out := Document{Version: d.Version, Limits: d.Limits}
+	out := Document{Version: d.Version, Limits: d.Limits, Withheld: slices.Clone(d.Withheld)}
 	listed := map[string]bool{}
 	for i, s := range d.Services {
 		path := fmt.Sprintf("Services[%d]", i)
@@ -28,6 +29,7 @@
 	for i, r := range d.Routes {
 		path := fmt.Sprintf("Routes[%d]", i)
 		if !r.isRoutable(path, &problems) {
+			out = out.WithWithheld(Location{Host: r.Host, PathPrefix: r.PathPrefix})
 			continue
 		}
 		r = r.corrected(path, &problems)
