internal/gateway: go by the region that a directory query states

A query with the data centre of one region and the name of another got the hosts of the data centre, though they are of neither the caller's stated region nor a home.

Cause: the data centre was looked up without regard to the region that goes with it. Class: two statements of one thing, of which the one that narrows less was believed.

Change: the data centre counts only if it is in the region that the query states. A query without a region has that of its data centre.

Evidence: platform, "names hosts of the region that the query states, whatever the data centre": failed at the second of 8 queries before (region west, data centre in north), all 8 hold at six hosts now.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -168,6 +169,7 @@
 		return
 	}
 	query := g.protocol.ReadDirectoryQuery(ctx.QueryArgs())
+	query.Region = cmp.Or(query.Region, g.settings.DataCentres[query.DataCentre])
 	region, addresses := g.directoryAddresses(query)
 	g.recordDirectoryAnswer(query, region, len(addresses))
 	body, err := g.protocol.WriteDirectory(addresses, g.settings.directoryTTL())
@@ -200,13 +202,13 @@
 }
 
 // directoryAddresses returns the caller addresses of the hosts that a caller is to use, and their region: those
-// of its data centre if there are enough, else those of its region, else those of a region to which
+// of its data centre if that is in its region and there are enough, else those of its region, else those of a region to which
 // the body of any call to the queried name may go. It returns none if this host knows none of them.
 func (g *Gateway) directoryAddresses(q DirectoryQuery) (region string, addresses []string) {
 	byDataCentre, byRegion := g.callerAddresses()
-	region, addresses = g.settings.DataCentres[q.DataCentre], byDataCentre[q.DataCentre]
-	if len(addresses) < minDataCentreHosts {
-		region, addresses = q.Region, byRegion[q.Region]
+	region, addresses = q.Region, byDataCentre[q.DataCentre]
+	if g.settings.DataCentres[q.DataCentre] != q.Region || len(addresses) < minDataCentreHosts {
+		addresses = byRegion[q.Region]
 	}
 	if len(addresses) == 0 {
 		region = g.regionInPlaceOf(q, byRegion)
