internal/exchange: take no body without a length for whole if the request did not arrive

A target sends a part of a response without a length and closes before the upload reaches it. The whole upload lies in the buffers of the system, so the write succeeds; the end of the connection comes first, and the reset for the unread bytes after it.

An end of the stream was taken for an orderly close, and a write that succeeded for a request that arrived.

Change: at the end of a body without a length, the connection must be in CLOSE_WAIT with all bytes acknowledged. While bytes are under way, the reader waits until they are, or the connection is reset, or the context ends. Elsewhere than on TCP nothing changes.

The order of the two questions matters: a reset between the state and the queue empties the queue.

--- a/internal/exchange/peek.go
+++ b/internal/exchange/peek.go
@@ -17,21 +17,13 @@
 // pending. It neither blocks nor consumes bytes. A connection without access to its file
 // descriptor counts as open, without pending bytes.
 func Peek(c net.Conn) (open, pending bool) {
-	for {
-		wrapped, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapped.NetConn()
-	}
-	syscallConn, ok := c.(syscall.Conn)
-	if !ok {
-		return true, false
-	}
-	raw, err := syscallConn.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return false, false
 	}
+	if raw == nil {
+		return true, false
+	}
 	var n int
 	var peekErr error
 	// RawConn.Read would fail on an expired read deadline, which doesn't mean that the
@@ -51,3 +43,19 @@
 	}
 	return true, true
 }
+
+// rawConn returns access to the file descriptor of a connection, nil if it has none.
+func rawConn(c net.Conn) (syscall.RawConn, error) {
+	for {
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = wrapped.NetConn()
+	}
+	syscallConn, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, nil
+	}
+	return syscallConn.SyscallConn()
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -182,7 +182,7 @@
 	}
 	// A peer may respond and close the connection before it has read a long request, so
 	// a response is read even after a failed write.
-	response := &Response{pool: p, conn: c, stop: stop, noReuse: sendErr != nil, sentWhole: sendErr == nil}
+	response := &Response{pool: p, conn: c, stop: stop, noReuse: sendErr != nil, sentWhole: sendErr == nil, cancelled: ctx.Done()}
 	if err := response.readMatchingHeader(request); err != nil {
 		response.abandon()
 		kind := Unanswered
@@ -430,6 +430,8 @@
 	noReuse bool // the connection is closed after the exchange
 	// sentWhole is set if the whole request was written.
 	sentWhole bool
+	// cancelled is closed when the context of the exchange ends.
+	cancelled <-chan struct{}
 }
 
 type bodyState int
@@ -469,7 +471,7 @@
 	default:
 		r.noReuse = true
 		// The system reports a reset once. If a write got the error, reads end as after an orderly close.
-		return &closeDelimitedReader{from: r.conn.reader, closeEndsBody: r.pool.closeDelimited && r.sentWhole}
+		return &closeDelimitedReader{from: r.conn.reader, conn: r.conn.Conn, closeEndsBody: r.pool.closeDelimited && r.sentWhole, cancelled: r.cancelled}
 	}
 }
 
@@ -533,21 +535,6 @@
 	return n, errors.New("a trailer without end")
 }
 
-// closeDelimitedReader reads a body without a declared length. Its end can't be
-// distinguished from a lost connection, so EOF is an error unless closeEndsBody is set.
-type closeDelimitedReader struct {
-	from          io.Reader
-	closeEndsBody bool
-}
-
-func (c *closeDelimitedReader) Read(b []byte) (int, error) {
-	n, err := c.from.Read(b)
-	if err == io.EOF && !c.closeEndsBody {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
 // CloseDelimited reports whether the end of the connection ends the body.
 func (r *Response) CloseDelimited() bool {
 	_, ok := r.body.(*closeDelimitedReader)
--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -79,6 +79,29 @@
 		Entry("as it is closed with unread bytes", func(c *net.TCPConn) { _ = c.Close() }),
 	)
 
+	// Guards against the same if the peer closes before the request arrives: the system holds the request, and the
+	// reset comes after the end of the response.
+	It("is incomplete without a length if the peer closes before it arrives", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+				_ = c.Close()
+			}
+		}()
+		const uploads, bufferedBytes = 200, 64 << 10
+		for range uploads {
+			body, err := upload(listener.Addr().String(), bufferedBytes)
+			Expect(err).To(HaveOccurred(), "got %q as a whole body", body)
+		}
+	})
+
 	It("is whole with a length, though the connection is reset", func() {
 		address := serveEarly("HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nlong", reset)
 		Expect(upload(address, uploadBytes)).To(Equal("long"))
