internal/gateway: let a call go on by the newest homes of its route

What callers saw (HOME): none yet; found by a test. A stream that broke off after the homes of its route had changed went on where the homes had been: at another target there, or by a body sent to a host there. So did repeats.

Cause: a call keeps the route by which it came, and learnt of a newer version only from a host that refused it, after the body had been sent. Class: a permission is read once and used for as long as the call lasts.

Change: before each send the call is compared with the configuration in force. If that has other homes for it, or withholds its route, it goes by that route, or is refused if it may not be repeated there. A route that is only removed still serves the calls that it began with.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -106,6 +106,9 @@
 			return r
 		}
 		c.awaitCatchUp()
+		if r, refused := c.followHomes(); refused {
+			return r
+		}
 		c.work.NoLimited = denials >= maxDenials
 		decision, choice := c.decide()
 		local := decision.Local && !choice.NoPath
