internal/gateway: count a region as lost only when several of its hosts fail

Cause: a forwarded call that a host did not answer counted as the loss of the host's whole region for 0.7 s, and the call itself did not go to another host of the region. When hosts are killed at the same moment, one refused connection made a host give up every region. Class: the failure of one taken for the failure of the group.

Change: a failure says something of the host, which gets no calls for 2 s as before, and the call may go to another host of the region, within its attempts. A region counts as lost when no host is left that may get calls, or when two hosts of it were silent and no message came from the region after the calls had been sent. A refused, reset or closed connection is no silence, as it came from the host's machine.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -619,6 +619,28 @@
 		Expect(r.Candidates(later, []string{"south"}, promptWork(100), true)).To(HaveLen(1))
 	})
 
+	// Guards against the loss of a region by the failure of one of its hosts.
+	It("counts a region as lost once several of its hosts are silent and no message comes from it", func() {
+		r := balance.NewRegions()
+		update := func(at time.Time) {
+			r.Update(at, "south", map[string]balance.ServiceState{serviceName: {Targets: 3, Rate: 100}})
+		}
+		candidates := func(at time.Time) []balance.RegionCandidate {
+			return r.Candidates(at, []string{"south"}, promptWork(100), false)
+		}
+		update(start)
+		sentAt, failedAt := start.Add(time.Millisecond), start.Add(time.Second)
+		Expect(r.MarkSilent(failedAt, sentAt, "south", "a")).To(BeFalse())
+		Expect(r.MarkSilent(failedAt, sentAt, "south", "a")).To(BeFalse(), "the same host")
+		update(failedAt)
+		Expect(r.MarkSilent(failedAt, sentAt, "south", "b")).To(BeFalse(), "sent before the last message")
+		Expect(r.MarkSilent(failedAt, failedAt, "south", "b")).To(BeFalse(), "the first since the last message")
+		Expect(candidates(failedAt)).To(HaveLen(1))
+		Expect(r.MarkSilent(failedAt, failedAt, "south", "a")).To(BeTrue())
+		Expect(candidates(failedAt)).To(BeEmpty())
+		Expect(candidates(failedAt.Add(time.Second))).To(HaveLen(1))
+	})
+
 	It("avoids a region for the service that it has refused, and for no other", func() {
 		r := balance.NewRegions()
 		r.Update(start, "south", map[string]balance.ServiceState{serviceName: {Targets: 3, Rate: 100}, "desk": {Targets: 1}})
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -14,8 +14,11 @@
 	// sentWindow is how long calls that were sent to a region are added to the state that
 	// it reports.
 	sentWindow = 400 * time.Millisecond
-	// lossBackoff is how long a region is avoided after a call was lost on the way there.
+	// lossBackoff is how long a region is avoided that counts as lost.
 	lossBackoff = 700 * time.Millisecond
+	// minSilentHosts is the number of hosts of a region whose silence, while nothing else is heard from
+	// it, counts as its loss. The silence of fewer says something of these hosts.
+	minSilentHosts = 2
 	// refusalBackoff is how long a region that has refused a call gets no calls of the same
 	// service and priority class.
 	refusalBackoff = 150 * time.Millisecond
@@ -33,6 +36,7 @@
 	sent         []sentWork
 	avoidUntil   time.Time               // the region is avoided until then
 	refusedUntil map[callClass]time.Time // calls of a class are not sent there until then
+	silentHosts  map[string]bool         // hosts that have failed in silence since the last message from the region
 }
 
 // callClass is the calls of one priority class for a service. Targets run more urgent calls
@@ -58,7 +62,7 @@
 func (r *Regions) state(region string) *regionState {
 	s := r.regions[region]
 	if s == nil {
-		s = &regionState{roundTrip: initialRoundTrip, refusedUntil: map[callClass]time.Time{}}
+		s = &regionState{roundTrip: initialRoundTrip, refusedUntil: map[callClass]time.Time{}, silentHosts: map[string]bool{}}
 		r.regions[region] = s
 	}
 	return s
@@ -68,6 +72,7 @@
 func (r *Regions) Update(now time.Time, region string, services map[string]ServiceState) {
 	s := r.state(region)
 	s.services, s.updatedAt = services, now
+	clear(s.silentHosts)
 }
 
 // CountSent records that a call is sent to a region.
@@ -83,11 +88,27 @@
 	s.roundTrip += time.Duration(sampleWeight * float64(d-s.roundTrip))
 }
 
-// MarkLost records that a call was lost on the way to a region.
+// MarkLost records that no host of a region can be reached.
 func (r *Regions) MarkLost(now time.Time, region string) {
 	r.state(region).avoidUntil = now.Add(lossBackoff)
 }
 
+// MarkSilent records that a call that was sent at a time to a host of a region failed and nothing came back.
+// It reports whether the region counts as lost: several of its hosts are silent, and no message has come from
+// the region since.
+func (r *Regions) MarkSilent(now, sentAt time.Time, region, host string) bool {
+	s := r.state(region)
+	if s.updatedAt.After(sentAt) {
+		return false
+	}
+	s.silentHosts[host] = true
+	if len(s.silentHosts) < minSilentHosts {
+		return false
+	}
+	r.MarkLost(now, region)
+	return true
+}
+
 // MarkRefused records that a region has refused a call.
 func (r *Regions) MarkRefused(now time.Time, region string, w Work) {
 	r.state(region).refusedUntil[classOf(w)] = now.Add(refusalBackoff)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -79,7 +79,7 @@
 	start := c.gateway.clock.Now()
 	response, err := c.gateway.peerPool.Do(a.ctx, host.PeerAddress, request)
 	if err != nil {
-		return nil, a.forwardFailed(host, err)
+		return nil, a.forwardFailed(host, start, err)
 	}
 	if host.Region != c.gateway.settings.Region {
 		c.gateway.recordRoundTrip(host.Region, c.gateway.clock.Now().Sub(start), response.Get(headerElapsed))
@@ -127,14 +127,15 @@
 }
 
 // forwardFailed ends an attempt at another host that brought no response.
-func (a *attempt) forwardFailed(host member.Info, err error) result {
+func (a *attempt) forwardFailed(host member.Info, sentAt time.Time, err error) result {
 	c := a.call
 	kind, _ := failure.KindOf[exchange.Kind](err)
 	c.addStep("host %s: %v", host.Host, err)
 	cancelled := a.ctx.Err() != nil
 	a.end(balance.Abandoned)
 	if !cancelled && !link.IsExhausted(err) {
-		c.gateway.recordHostFailure(host.Host, host.Region)
+		c.gateway.recordHostFailure(host, sentAt, err)
+		c.retryRegion(host.Region)
 	}
 	if kind == exchange.Unsent {
 		return unsentResult("no connection to another host")
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
+	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
@@ -80,14 +81,28 @@
 	return c.work.Version == continuation.Unknown || m.Protocol >= member.ProtocolVersions
 }
 
-// recordHostFailure records a forwarded call that the host did not answer.
-func (g *Gateway) recordHostFailure(host, region string) {
+// recordHostFailure records a forwarded call that the host did not answer. A failure says something of the
+// host only, unless it is the last one that may get calls, or others of its region are silent too.
+func (g *Gateway) recordHostFailure(host member.Info, sentAt time.Time, err error) {
+	view := g.gossip.View()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.avoidUntil[host] = now.Add(hostFailurePause)
-	if region != g.settings.Region {
-		g.regions.MarkLost(now, region)
+	g.avoidUntil[host.Host] = now.Add(hostFailurePause)
+	if host.Region == g.settings.Region {
+		return
+	}
+	othersLeft := slices.ContainsFunc(view.Members, func(m member.Info) bool {
+		return m.Region == host.Region && m.InUse() && now.After(g.avoidUntil[m.Host])
+	})
+	lost := !othersLeft
+	if lost {
+		g.regions.MarkLost(now, host.Region)
+	} else if !link.IsRejection(err) {
+		lost = g.regions.MarkSilent(now, sentAt, host.Region, host.Host)
+	}
+	if lost {
+		g.log.Info("A region counts as lost.", "Region", host.Region, "LastHost", host.Host, "OthersLeft", othersLeft)
 	}
 }
 
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -19,6 +20,12 @@
 // or memory at the moment. It says nothing about the peer.
 func IsExhausted(err error) bool { return isAny(err, exhaustionErrors) }
 
+// IsRejection reports whether an operation failed because the peer's machine refused, reset or closed the
+// connection. Such a failure shows that there is a path to that machine.
+func IsRejection(err error) bool {
+	return isAny(err, []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE})
+}
+
 // passes reports whether an error of Accept or ReadFrom is no reason to stop listening. The last ones
 // are errors of a connection or a peer that the system reports at the listener or socket.
 func passes(err error) bool {
--- a/internal/link/accept_test.go
+++ b/internal/link/accept_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,6 +35,17 @@
 	return l
 }
 
+var _ = Describe("IsRejection", func() {
+	It("tells a peer that refuses or closes from one that is silent", func() {
+		for _, err := range []error{io.EOF, syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE} {
+			Expect(link.IsRejection(&net.OpError{Op: "read", Err: err})).To(BeTrue(), err.Error())
+		}
+		for _, err := range []error{syscall.ETIMEDOUT, os.ErrDeadlineExceeded, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+			Expect(link.IsRejection(&net.OpError{Op: "dial", Err: err})).To(BeFalse(), err.Error())
+		}
+	})
+})
+
 var _ = Describe("RetryAccept", func() {
 	// Guards against a process that ends, with all that is under way, because one connection could not be
 	// accepted.
