internal/gateway: refuse requests outside the grammar of HTTP

Cause: the server library joins continued lines and takes names with blanks, but the lines are passed on as they came. A blank at the begin of a line hid its name from the check for names that callers may not set.

Change: hosts check the request line and all field lines of callers and of other hosts by the reader of responses. A request outside the grammar gets 400 and "not run", its connection is closed, and it is counted by malformed_requests_total and logged, also if the library refuses it. A host that gets one from another host refuses it in the same way. The text of kind Malformed is "malformed" now, as it is no answer here.

That a host refuses such a request of another host has no spec.

--- a/internal/exchange/error.go
+++ b/internal/exchange/error.go
@@ -18,7 +18,7 @@
 	// TooLarge means that the body exceeds the reader's limit or the memory budget.
 	TooLarge
 	// Malformed means that the request may have reached the peer, and that what it sent is no response by the
-	// grammar of HTTP.
+	// grammar of HTTP, or that a received request is outside this grammar.
 	Malformed
 	// Withdrawn means that the sender decided not to send the request after all.
 	Withdrawn
@@ -26,7 +26,7 @@
 
 // String returns the text of the kind in error messages.
 func (k Kind) String() string {
-	return [...]string{"unsent", "unanswered", "broken answer", "answer too large", "malformed answer", "withdrawn"}[k]
+	return [...]string{"unsent", "unanswered", "broken answer", "answer too large", "malformed", "withdrawn"}[k]
 }
 
 // Error is the error type of the package.
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -168,6 +168,31 @@
 	return nil
 }
 
+// CheckRequest returns an error of kind Malformed if the head of a request is outside the grammar of RFC 9110 and
+// RFC 9112. The library that has parsed it joins continued lines and takes names with blanks.
+func CheckRequest(h *fasthttp.RequestHeader) error {
+	if method := h.Method(); len(method) == 0 || !isToken(method) {
+		return malformed("method", "%s", quote(method))
+	}
+	if target := h.RequestURI(); len(target) == 0 || bytes.ContainsAny(target, " \t") || !isFieldValue(target) {
+		return malformed("request target", "%s", quote(target))
+	}
+	rest := h.RawHeaders()
+	for len(rest) > 0 {
+		line, after, ok := bytes.Cut(rest, []byte(lineEnd))
+		if rest = after; len(line) == 0 && ok && len(rest) == 0 {
+			return nil
+		}
+		if !ok {
+			return malformed("line end", "%s", quote(line))
+		}
+		if _, _, err := cutField(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // cutField returns the name and the value of a field line.
 func cutField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -2,17 +2,27 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/duty"
+	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
+// The names of the servers for callers and for other hosts, in logs and metrics.
+const (
+	callerServer = "caller server"
+	peerServer   = "peer server"
+)
+
 const (
 	// The shares of the process's descriptors that each kind of connection may use. The rest is for
 	// connections in use to targets, hosts and the store, for sockets and for files.
@@ -124,7 +134,7 @@
 }
 
 // rejectRequest responds to a request that could not be read.
-func rejectRequest(ctx *fasthttp.RequestCtx, err error) {
+func (g *Gateway) rejectRequest(server string, ctx *fasthttp.RequestCtx, err error) {
 	var tooLong *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
@@ -135,10 +145,35 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		ctx.Error("the request took too long", fasthttp.StatusRequestTimeout)
 	default:
+		if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &timeout) {
+			g.recordMalformedRequest(server, ctx, err)
+		}
 		ctx.Error("the request can't be read", fasthttp.StatusBadRequest)
 	}
 }
 
+// checkGrammar reports whether the head of a request is in the grammar of HTTP. Otherwise it refuses the request, as
+// targets may read it in another way than this host.
+func (g *Gateway) checkGrammar(server string, ctx *fasthttp.RequestCtx) bool {
+	err := exchange.CheckRequest(&ctx.Request.Header)
+	if err == nil {
+		return true
+	}
+	g.recordMalformedRequest(server, ctx, err)
+	g.writeHostReply(ctx, reply{status: fasthttp.StatusBadRequest, outcome: core.NotRun, reason: "the request is outside the grammar of HTTP"})
+	if server == peerServer {
+		ctx.Response.Header.Set(headerArrivals, "0")
+	}
+	ctx.SetConnectionClose()
+	return false
+}
+
+// recordMalformedRequest counts and logs a request that is outside the grammar of HTTP.
+func (g *Gateway) recordMalformedRequest(server string, ctx *fasthttp.RequestCtx, err error) {
+	g.metrics.add(fmt.Sprintf("malformed_requests_total{server=%q}", server), 1)
+	g.log.Info("A request is outside the grammar of HTTP.", "Server", server, "Address", ctx.RemoteAddr().String(), "Offence", err.Error())
+}
+
 // headerExceeds reports whether the header of a request is longer than the configuration allows.
 func (g *Gateway) headerExceeds(h *fasthttp.RequestHeader) bool {
 	limit := g.limits().MaxHeaderBytes
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -262,6 +262,9 @@
 	if number := string(ctx.Request.Header.Peek(headerNumber)); number != "" {
 		defer func() { ctx.Response.Header.Set(headerNumber, number) }()
 	}
+	if !g.checkGrammar(peerServer, ctx) {
+		return
+	}
 	if !g.verifyRequest(&ctx.Request) {
 		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -246,7 +246,7 @@
 	g.suspendedFor = g.sinceBoot()
 	g.started = g.clock.Now()
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
-	g.callers = g.newLimiter("caller server", callerShare)
+	g.callers = g.newLimiter(callerServer, callerShare)
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
 	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
@@ -273,8 +273,8 @@
 		handler       fasthttp.RequestHandler
 		limiter       *link.Limiter
 	}{
-		{"caller server", g.settings.CallerAddress, g.serveCaller, g.callers},
-		{"peer server", g.settings.PeerAddress, g.servePeer, g.newLimiter("peer server", peerShare)},
+		{callerServer, g.settings.CallerAddress, g.serveCaller, g.callers},
+		{peerServer, g.settings.PeerAddress, g.servePeer, g.newLimiter(peerServer, peerShare)},
 		{"readiness server", g.settings.ReadinessAddress, g.serveReadiness, g.newLimiter("readiness server", otherServerShare)},
 		{"directory server", g.settings.DirectoryAddress, g.serveDirectory, g.newLimiter("directory server", directoryShare)},
 		{"metrics server", g.settings.MetricsAddress, g.serveMetrics, g.newLimiter("metrics server", otherServerShare)},
@@ -284,7 +284,7 @@
 		if err != nil {
 			return errors.Wrap(err, h.name)
 		}
-		server := newServer(h.handler, h.limiter)
+		server := g.newServer(h.name, h.handler, h.limiter)
 		g.servers = append(g.servers, namedServer{name: h.name, server: server, listener: h.limiter.Listen(g.retryAccept(h.name, listener)), limiter: h.limiter})
 	}
 	g.servers[0].server.HeaderReceived = g.requestConfig
@@ -306,10 +306,10 @@
 	return nil
 }
 
-func newServer(handler fasthttp.RequestHandler, limiter *link.Limiter) *fasthttp.Server {
+func (g *Gateway) newServer(name string, handler fasthttp.RequestHandler, limiter *link.Limiter) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		ConnState: limiter.OnState, ErrorHandler: rejectRequest,
+		ConnState: limiter.OnState, ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) { g.rejectRequest(name, ctx, err) },
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: serverIdleTimeout,
 		MaxRequestBodySize: maxCallBytes, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
 		DisablePreParseMultipartForm: true, // a form is relayed as it came
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -33,6 +33,9 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	if !g.checkGrammar(callerServer, ctx) {
+		return
+	}
 	stripInternalHeaders(&ctx.Request.Header)
 	if c := g.newActiveCall(ctx, false); c != nil {
 		g.serveActiveCall(ctx, c)
