internal/gateway: take no trailer field of a request for a header

What targets saw (UNASKED): with a trailer, whether announced or not, fields such as Gateway-Left-Ms, Resumes, Upgrade and Sequoiarack-Request-Id of a caller. And if the trailer held Sequoiarack-Expect-Instance or Sequoiarack-Deadline-Ms, the host's own values went into the trailer in place of the head, where a target need not read them: such a call could run at a target that it was not meant for.

Cause: a request with a trailer was copied whole by the library, which keeps fields of head and trailer under one name: a header that is set goes into the trailer if the trailer has that name.

Change: hosts remove the fields that have a meaning to them, that callers may not set, or that concern one connection, from the trailer before they read the head; header lines of the same names stay. Requests with trailers are copied line by line like all others, and the rest of the trailer is added. A trailer outside the grammar is refused like a head. A trailer field with the name of a header of the request is left out.

"hide no header" held before too; it guards the removal.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -168,7 +168,7 @@
 	return nil
 }
 
-// CheckRequest returns an error of kind Malformed if the head of a request is outside the grammar of RFC 9110 and
+// CheckRequest returns an error of kind Malformed if the head or the trailer of a request is outside the grammar of RFC 9110 and
 // RFC 9112. The library that has parsed it joins continued lines and takes names with blanks.
 func CheckRequest(h *fasthttp.RequestHeader) error {
 	if method := h.Method(); len(method) == 0 || !isToken(method) {
@@ -177,10 +177,19 @@
 	if target := h.RequestURI(); len(target) == 0 || bytes.ContainsAny(target, " \t") || !isFieldValue(target) {
 		return malformed("request target", "%s", quote(target))
 	}
-	rest := h.RawHeaders()
-	for len(rest) > 0 {
-		line, after, ok := bytes.Cut(rest, []byte(lineEnd))
-		if rest = after; len(line) == 0 && ok && len(rest) == 0 {
+	if len(h.PeekTrailerKeys()) > 0 {
+		if err := checkFields(h.TrailerHeader()); err != nil {
+			return err
+		}
+	}
+	return checkFields(h.RawHeaders())
+}
+
+// checkFields checks field lines with the empty line after them.
+func checkFields(lines []byte) error {
+	for len(lines) > 0 {
+		line, rest, ok := bytes.Cut(lines, []byte(lineEnd))
+		if lines = rest; len(line) == 0 && ok && len(lines) == 0 {
 			return nil
 		}
 		if !ok {
--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -20,14 +20,13 @@
 func (c *activeCall) copyRequest() *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
 	from, to := &c.request.Header, &request.Header
+	to.DisableNormalizing()
+	to.DisableSpecialHeader()
+	to.SetMethodBytes(from.Method())
+	to.SetBytesV(fasthttp.HeaderHost, from.Host())
+	copyHeaders(from, to, c.gateway.protocol)
 	if len(from.PeekTrailerKeys()) > 0 {
-		from.CopyTo(to) // the trailer follows the body, in chunks
-	} else {
-		to.DisableNormalizing()
-		to.DisableSpecialHeader()
-		to.SetMethodBytes(from.Method())
-		to.SetBytesV(fasthttp.HeaderHost, from.Host())
-		copyHeaders(from, to, c.gateway.protocol)
+		addTrailer(to, string(from.TrailerHeader()), c.gateway.protocol)
 	}
 	to.SetRequestURI(c.meta.Target)
 	to.SetNoDefaultContentType(true)
@@ -48,6 +47,48 @@
 	}
 }
 
+// stripTrailer removes the trailer fields of a request that targets must not get, and that hosts would take for
+// headers.
+func stripTrailer(h *fasthttp.RequestHeader, protocol Protocol) {
+	var names []string
+	for _, name := range h.PeekTrailerKeys() {
+		names = append(names, string(name))
+	}
+	if len(names) == 0 {
+		return
+	}
+	lines := string(h.TrailerHeader())
+	_ = h.SetTrailer("") // its fields become headers
+	for _, name := range names {
+		h.Del(name)
+	}
+	for line := range bytes.Lines(h.RawHeaders()) {
+		key, value, _ := strings.Cut(string(line), ":")
+		if slices.ContainsFunc(names, func(name string) bool { return strings.EqualFold(name, key) }) {
+			h.Add(key, strings.TrimSpace(value))
+		}
+	}
+	addTrailer(h, lines, protocol)
+}
+
+// addTrailer adds field lines to the trailer of a request. It leaves out those with the name of a header of the
+// request, and those that targets may not get there.
+func addTrailer(h *fasthttp.RequestHeader, lines string, protocol Protocol) {
+	var names, values []string
+	for line := range strings.Lines(lines) {
+		key, value, ok := strings.Cut(line, ":")
+		isKey := func(name string) bool { return strings.EqualFold(name, key) }
+		if ok && !slices.ContainsFunc(hopByHopHeaders, isKey) && !isInternal(key) && !protocol.Known(key) && len(h.Peek(key)) == 0 {
+			names, values = append(names, key), append(values, strings.TrimSpace(value))
+		}
+	}
+	for i, name := range names {
+		if h.AddTrailer(name) == nil {
+			h.Add(name, values[i])
+		}
+	}
+}
+
 // connectionOptions returns the names that the Connection header lists.
 func connectionOptions(h *fasthttp.RequestHeader) []string {
 	var out []string
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -88,6 +88,8 @@
 	// Reserved reports whether callers may not set a header, whatever the case of its name.
 	// StripReservedHeaders removes these headers.
 	Reserved(name string) bool
+	// Known reports whether a header has a meaning to hosts, whatever the case of its name.
+	Known(name string) bool
 	// Canonical returns the usual spelling of the name of a header that hosts set, and other
 	// names as they are.
 	Canonical(name string) string
