internal/exchange: take no change of protocol for an interim response

A target or host that answers 101 says that what follows is in another protocol.

Change: such a response is outside the grammar: unknown, 502, counted and logged. The second reading of FuzzResponse rejects it too.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -146,7 +146,11 @@
 			return 0, "", false
 		}
 		rest = rest[len(found[0]):]
-		if status, _ = strconv.Atoi(found[2]); status < fasthttp.StatusOK {
+		status, _ = strconv.Atoi(found[2])
+		if status == fasthttp.StatusSwitchingProtocols {
+			return 0, "", false
+		}
+		if status < fasthttp.StatusOK {
 			continue
 		}
 		body, ok = bodyAgain(status, found[3], rest)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -447,6 +447,10 @@
 		if err != nil {
 			return err
 		}
+		// No request asks for another protocol, and what follows such an answer is not HTTP.
+		if r.Header.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return malformed("status", "%d without a request to switch", fasthttp.StatusSwitchingProtocols)
+		}
 		if r.Header.StatusCode() >= fasthttp.StatusOK {
 			r.noReuse = r.noReuse || !persists
 			r.body = r.bodyReader(head, body)
