internal/exchange: report a malformed trailer of a response

A trailer outside the grammar ended the body as incomplete, but was neither counted nor logged, though WithOnMalformed says that it is called for each malformed response. Now it is, and its doc names the case.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -58,7 +58,12 @@
 
 // readText reads a response from a peer that sends text and closes the connection.
 func readText(text string) (status int, body string, err error) {
-	malformed := 0
+	status, body, _, err = readReported(text)
+	return status, body, err
+}
+
+// readReported is like readText, and returns the number of responses that were reported as malformed.
+func readReported(text string) (status int, body string, malformed int, err error) {
 	pool := exchange.NewPool(scriptedDialer(text), exchange.WithCloseDelimited(),
 		exchange.WithOnMalformed(func(string, error) { malformed++ }))
 	defer pool.Close()
@@ -70,11 +75,11 @@
 		if malformed == 0 && isMalformed(err) {
 			panic("a malformed response was not reported")
 		}
-		return 0, "", err
+		return 0, "", malformed, err
 	}
 	const limit = 1 << 20
 	data, err := response.ReadAll(limit)
-	return response.Status(), string(data), err
+	return response.Status(), string(data), malformed, err
 }
 
 func isMalformed(err error) bool {
@@ -86,7 +91,8 @@
 	for _, c := range headCases() {
 		if c.Status > 0 {
 			It("is read with "+c.Name, func() {
-				status, body, err := readText(c.Bytes)
+				status, body, malformed, err := readReported(c.Bytes)
+				Expect(malformed).To(BeZero())
 				Expect(err).NotTo(HaveOccurred())
 				Expect(status).To(Equal(c.Status))
 				Expect(body).To(Equal(c.Body))
@@ -95,12 +101,13 @@
 		}
 		// Guards against bytes outside the grammar of HTTP that callers get as a response (MIXED).
 		It("is rejected with "+c.Name, func() {
-			_, _, err := readText(c.Bytes)
+			_, _, malformed, err := readReported(c.Bytes)
 			want := exchange.Malformed
 			if c.Incomplete {
 				want = exchange.Incomplete
 			}
 			Expect(kindOf(err)).To(Equal(want))
+			Expect(malformed).To(Equal(1))
 		})
 	}
 })
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -90,7 +90,8 @@
 // being written, the body counts as incomplete.
 func WithCloseDelimited() Option { return func(p *Pool) { p.closeDelimited = true } }
 
-// WithOnMalformed sets a function that is called for each response that fails with kind Malformed.
+// WithOnMalformed sets a function that is called for each response that fails with kind Malformed, and for each
+// that is incomplete as its trailer is malformed.
 func WithOnMalformed(f func(address string, err error)) Option {
 	return func(p *Pool) { p.onMalformed = f }
 }
@@ -579,6 +580,9 @@
 		r.finish()
 	case err != nil:
 		r.abandon()
+		if cause, _ := failure.KindOf[Kind](err); cause == Malformed {
+			r.pool.reportMalformed(r.conn.address, err)
+		}
 		err = wrap("read body", Incomplete, err)
 	}
 	return n, err
