internal/gateway: pass on headers that requests have once only once

If a caller gave Sequoiarack-Request-Id, Sequoiarack-Deadline-Ms or Last-Event-Id twice, the target got two lines: the first was the one by which the host goes, or the one that it sets; the second was the caller's. A target that reads the last one goes by another ID, a longer deadline or another event than its host.

Change: the first line is passed on and later ones are left out, whatever the case of their names.

--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -43,7 +43,13 @@
 		if !ok || slices.ContainsFunc(dropped, isDropped) || isInternal(key) || protocol.Reserved(key) || isDropped(fasthttp.HeaderHost) {
 			continue
 		}
-		to.Add(protocol.Canonical(key), strings.TrimSpace(value))
+		if name, isSingle := protocol.Canonical(key); isSingle {
+			if len(to.PeekAll(name)) > 0 {
+				continue // hosts go by the first one
+			}
+			key = name
+		}
+		to.Add(key, strings.TrimSpace(value))
 	}
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -90,9 +90,9 @@
 	Reserved(name string) bool
 	// Known reports whether a header has a meaning to hosts, whatever the case of its name.
 	Known(name string) bool
-	// Canonical returns the usual spelling of the name of a header that hosts set, and other
-	// names as they are.
-	Canonical(name string) string
+	// Canonical returns the usual spelling of the name of a header that callers and hosts set, and that a
+	// request has once. For other names it returns false.
+	Canonical(name string) (string, bool)
 	StripReservedHeaders(h *fasthttp.RequestHeader)
 	// CacheListPath is the path at which targets list their prompt cache. ReadCacheList reads
 	// the body of the response.
