--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -168,6 +168,40 @@
 	return nil
 }
 
+// CheckRequest returns an error of kind Malformed if the head or the trailer of a request is outside the grammar of RFC 9110 and
+// RFC 9112. The library that has parsed it joins continued lines and takes names with blanks.
+func CheckRequest(h *fasthttp.RequestHeader) error {
+	if method := h.Method(); len(method) == 0 || !isToken(method) {
+		return malformed("method", "%s", quote(method))
+	}
+	if target := h.RequestURI(); len(target) == 0 || bytes.ContainsAny(target, " \t") || !isFieldValue(target) {
+		return malformed("request target", "%s", quote(target))
+	}
+	if len(h.PeekTrailerKeys()) > 0 {
+		if err := checkFields(h.TrailerHeader()); err != nil {
+			return err
+		}
+	}
+	return checkFields(h.RawHeaders())
+}
+
+// checkFields checks field lines with the empty line after them.
+func checkFields(lines []byte) error {
+	for len(lines) > 0 {
+		line, rest, ok := bytes.Cut(lines, []byte(lineEnd))
+		if lines = rest; len(line) == 0 && ok && len(lines) == 0 {
+			return nil
+		}
+		if !ok {
+			return malformed("line end", "%s", quote(line))
+		}
+		if _, _, err := cutField(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // cutField returns the name and the value of a field line.
 func cutField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
@@ -216,11 +250,20 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+// tokenBytes holds the bytes of tokens.
+var tokenBytes = func() (out [256]bool) {
+	for i := range out {
+		b := byte(i)
+		isLetter := b|0x20 >= 'a' && b|0x20 <= 'z'
+		out[i] = isLetter || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+	return out
+}()
+
 // isToken reports whether all bytes may stand in a field name.
 func isToken(b []byte) bool {
 	for _, c := range b {
-		isLetter := c|0x20 >= 'a' && c|0x20 <= 'z'
-		if !isLetter && !isDigit(c) && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+		if !tokenBytes[c] {
 			return false
 		}
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -90,7 +90,8 @@
 // being written, the body counts as incomplete.
 func WithCloseDelimited() Option { return func(p *Pool) { p.closeDelimited = true } }
 
-// WithOnMalformed sets a function that is called for each response that fails with kind Malformed.
+// WithOnMalformed sets a function that is called for each response that fails with kind Malformed, and for each
+// that is incomplete as its trailer is malformed.
 func WithOnMalformed(f func(address string, err error)) Option {
 	return func(p *Pool) { p.onMalformed = f }
 }
@@ -449,6 +450,10 @@
 		if err != nil {
 			return err
 		}
+		// No request asks for another protocol, and what follows such an answer is not HTTP.
+		if r.Header.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return malformed("status", "%d without a request to switch", fasthttp.StatusSwitchingProtocols)
+		}
 		if r.Header.StatusCode() >= fasthttp.StatusOK {
 			r.noReuse = r.noReuse || !persists
 			r.body = r.bodyReader(head, body)
@@ -562,6 +567,9 @@
 		r.finish()
 	case err != nil:
 		r.abandon()
+		if cause, _ := failure.KindOf[Kind](err); cause == Malformed {
+			r.pool.reportMalformed(r.conn.address, err)
+		}
 		err = wrap("read body", Incomplete, err)
 	}
 	return n, err
