internal/balance: forget targets that are back in another region

Cause: entries of other regions were skipped before they could replace the known one, and the removal looked only at whether the ID was still there. Class: the same name is taken for the same thing.

Change: a known target whose entry is of another region is dropped like one that has left.

Evidence: platform, "do not run at a target that is in another region now" (a known region, and one that nobody knows): both failed before, as the target was still in use after 15 s; both pass, also when the entry of the process before arrives late. internal/balance passes.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -142,7 +142,7 @@
 		}
 	}
 	for id, t := range b.targets {
-		if current, found := s.Targets[id]; !found || s.Evacuated[current.DataCentre] {
+		if current, found := s.Targets[id]; !found || current.Region != b.region || s.Evacuated[current.DataCentre] {
 			b.retainLimit(t)
 			delete(b.targets, t.ID)
 		}
