internal/gateway: send nothing by the record of a host whose address another one has

After a host of a home had ended and one of another region had started at its addresses, bodies were sent there for the home. The receiver refused them and nothing ran.

Cause: the record of the old host stays in use until its failure is noticed, and a connection to its address leads to the new host. Class: a name or address is taken for the thing that had it.

Change: a host whose peer or caller address a process that started later has under another name gets no forwarded calls, and directories do not name it.

Not covered: the time until the sender hears of the new host. The receiver refuses the call then, but has its body.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -244,8 +244,9 @@
 	}
 	silent := g.silentPeers()
 	byDataCentre, byRegion = map[string][]string{}, map[string][]string{}
-	for _, m := range g.gossip.View().Members {
-		if !m.InUse() || !live[m.Region] || silent[m.Host] {
+	members := g.gossip.View().Members
+	for _, m := range members {
+		if !m.InUse() || !live[m.Region] || silent[m.Host] || isReplaced(m, members) {
 			continue
 		}
 		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m.CallerAddress)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -178,7 +178,7 @@
 	best := balance.ReachFew
 	var out []member.Info
 	for _, m := range view.Members {
-		if m.Host == g.settings.Host || !m.InUse() || !now.After(g.avoidUntil[m.Host]) || !condition(m) {
+		if m.Host == g.settings.Host || !m.InUse() || !now.After(g.avoidUntil[m.Host]) || !condition(m) || isReplaced(m, view.Members) {
 			continue
 		}
 		reach := g.reachOf(m)
@@ -195,6 +195,13 @@
 	return out[g.rng.IntN(len(out))], true
 }
 
+// isReplaced reports whether a process that started later under another name has the addresses of a host.
+func isReplaced(m member.Info, members []member.Info) bool {
+	return slices.ContainsFunc(members, func(other member.Info) bool {
+		return other.Incarnation > m.Incarnation && other.Host != m.Host && (other.PeerAddress == m.PeerAddress || other.CallerAddress == m.CallerAddress)
+	})
+}
+
 // isDetached reports whether the host has no path to any target.
 func (g *Gateway) isDetached() bool {
 	g.mu.Lock()
