internal/gateway: forward calls with homes also to regions that did not answer a query for versions

The query for newer configurations by hosts on old news (ask for a newer configuration before calls with homes are sent on old news) let such calls go only to regions of which one of two random hosts had answered within 250 ms. In an outage of the store the news of all hosts is old, and a region of which these two hosts are dead or slow would get no such calls though others of it live. What protects the homes is the newest configuration of whoever answers, not who answers.

Now one host of each region is asked, and its answer adopted; the calls go to the homes by what is known then.

Also: the record of a host whose address another one has yields only to a host that is in use.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,9 +43,6 @@
 	repeat, prepaid bool
 	triedTargets    []string
 	triedRegions    []string
-	// confirmed are the regions whose hosts have confirmed the configuration, nil if this host has recent
-	// news itself.
-	confirmed []string
 	// triedNeighbours are the hosts of the own region that the call was passed to.
 	triedNeighbours []string
 	unsent          int  // attempts that reached neither a target nor a host with a path
@@ -314,7 +311,7 @@
 		if withVersion != nil && !withVersion[region] {
 			continue
 		}
-		if c.mayGoTo(region) && !slices.Contains(c.triedRegions, region) && serving[region] {
+		if c.route.MayServe(region) && !slices.Contains(c.triedRegions, region) && serving[region] {
 			out = append(out, region)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,8 @@
 	lastMessages    map[string]messageStamp  // by host
 	sentReports     sentReports
 	storeContact    storeContact // of other hosts
-	versionReplies  versionReplies
+	// versionsQueriedAt is the end of the last query for newer configurations.
+	versionsQueriedAt time.Time
 	// suspendedFor is how long the machine was suspended in all, by the difference of two clocks.
 	suspendedFor time.Duration
 	// regionLastSeen is when the last message of each other region arrived.
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -195,10 +195,10 @@
 	return out[g.rng.IntN(len(out))], true
 }
 
-// isReplaced reports whether a process that started later under another name has the addresses of a host.
+// isReplaced reports whether a process in use that started later under another name has the addresses of a host.
 func isReplaced(m member.Info, members []member.Info) bool {
 	return slices.ContainsFunc(members, func(other member.Info) bool {
-		return other.Incarnation > m.Incarnation && other.Host != m.Host && (other.PeerAddress == m.PeerAddress || other.CallerAddress == m.CallerAddress)
+		return other.Incarnation > m.Incarnation && other.InUse() && other.Host != m.Host && (other.PeerAddress == m.PeerAddress || other.CallerAddress == m.CallerAddress)
 	})
 }
 
