--- a/internal/exchange/closedelimited.go
+++ b/internal/exchange/closedelimited.go
@@ -20,7 +20,7 @@
 
 func (c *closeDelimitedReader) Read(b []byte) (int, error) {
 	n, err := c.from.Read(b)
-	if err == io.EOF && !(c.closeEndsBody && closedInOrder(c.conn, c.cancelled)) {
+	if err == io.EOF && (!c.closeEndsBody || !closedInOrder(c.conn, c.cancelled)) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
