--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -15,9 +15,8 @@
 	"github.com/sequoiarack/sequoiarack/internal/link"
 )
 
-// serveEarly answers each connection once the head of the request has come: it writes text, waits until the
-// sender can write no more, and ends the connection.
-func serveEarly(text string, end func(c *net.TCPConn)) string {
+// acceptEach calls handle with each connection, one after the other, and returns the address to connect to.
+func acceptEach(handle func(c *net.TCPConn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
@@ -27,19 +26,27 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				var head fasthttp.RequestHeader
-				if head.Read(bufio.NewReader(c)) == nil {
-					_, _ = io.WriteString(c, text)
-				}
-				time.Sleep(20 * time.Millisecond)
-				end(c.(*net.TCPConn))
-			}()
+			handle(c.(*net.TCPConn))
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// serveEarly answers each connection once the head of the request has come: it writes text, waits until the
+// sender can write no more, and ends the connection.
+func serveEarly(text string, end func(c *net.TCPConn)) string {
+	return acceptEach(func(c *net.TCPConn) {
+		go func() {
+			var head fasthttp.RequestHeader
+			if head.Read(bufio.NewReader(c)) == nil {
+				_, _ = io.WriteString(c, text)
+			}
+			time.Sleep(20 * time.Millisecond)
+			end(c)
+		}()
+	})
+}
+
 // upload sends a body of the given length and reads the response.
 func upload(address string, bytes int) (string, error) {
 	pool := exchange.NewPool(link.NewSystem(""), exchange.WithCloseDelimited())
@@ -82,22 +89,13 @@
 	// Guards against the same if the peer closes before the request arrives: the system holds the request, and the
 	// reset comes after the end of the response.
 	It("is incomplete without a length if the peer closes before it arrives", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
-		go func() {
-			for {
-				c, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
-				_ = c.Close()
-			}
-		}()
+		address := acceptEach(func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+			_ = c.Close()
+		})
 		const uploads, bufferedBytes = 200, 64 << 10
 		for range uploads {
-			body, err := upload(listener.Addr().String(), bufferedBytes)
+			body, err := upload(address, bufferedBytes)
 			Expect(err).To(HaveOccurred(), "got %q as a whole body", body)
 		}
 	})
