internal/gateway: serve calls by the workspace of their key

Change: the configuration has workspaces with keys, priority, homes and a quota, checked and corrected like routes. A call keeps a keyed digest of its key only, and hosts name the key to one another by that digest. A host checks the key when the call comes, before each attempt and right before the send, and refuses it as not run once it cannot prove that its configuration was the newest one within RevocationMs. The proof is the time of the last contact with the store, which other hosts pass on with its age; a request that was under way while the machine was suspended proves nothing.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -317,6 +317,9 @@
 	Revision int64
 	Entries  []keyvalue.Entry // written after the requested revision
 	Keys     []string         // of all entries at Revision; missing keys were removed
+	// ContactAgeMs is how long ago the sender had all changes of the store, nil if it never had. It is counted
+	// when the sender responds.
+	ContactAgeMs *int64 `json:",omitempty"`
 }
 
 // Since returns the changes after a revision, and false if there are none.
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,7 +97,37 @@
 	available chan bool // whether the store answered the last call
 	updated   chan struct{}
 	relayedAt atomic.Pointer[time.Time] // when the reading host asked for what it last sent
-	contactAt atomic.Pointer[time.Time] // see LastContact
+	contact   contact
+}
+
+// contact is the time until which a host has all changes of the store. Its epoch changes when the clock of the
+// host has stood still, so that answers to earlier requests say nothing of the time since.
+type contact struct {
+	mu    sync.Mutex
+	at    time.Time
+	epoch int
+}
+
+func (c *contact) read() (at time.Time, epoch int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at, c.epoch
+}
+
+// record sets the time unless a later one is set or the epoch has changed.
+func (c *contact) record(at time.Time, epoch int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch == c.epoch && at.After(c.at) {
+		c.at = at
+	}
+}
+
+func (c *contact) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = time.Time{}
+	c.epoch++
 }
 
 // NewFollower returns a Follower.
@@ -108,22 +139,14 @@
 }
 
 // LastContact returns the time until which this host has all changes of the store, read by itself
-// or by the host that reads for its group. That is when they were asked for, not when they arrived.
+// or by another host. That is when they were asked for, not when they arrived.
 func (f *Follower) LastContact() time.Time {
-	if at := f.contactAt.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
+	at, _ := f.contact.read()
+	return at
 }
 
-// ForgetContact makes this host wait for news from the store before it relies on having all changes.
-func (f *Follower) ForgetContact() { f.contactAt.Store(nil) }
-
-func (f *Follower) recordContact(asOf time.Time) {
-	if !asOf.IsZero() {
-		advance(&f.contactAt, asOf)
-	}
-}
+// ForgetContact makes this host wait for the answer to a new request before it relies on having all changes.
+func (f *Follower) ForgetContact() { f.contact.forget() }
 
 // readState is the state of FollowStore between two calls to the store.
 type readState struct {
@@ -204,7 +227,9 @@
 	} else {
 		f.catalogue.Apply(u.Events, u.Revision, FromReader)
 	}
-	f.recordContact(asOf)
+	if _, epoch := f.contact.read(); !asOf.IsZero() {
+		f.contact.record(asOf, epoch)
+	}
 	if u.AsOf.IsZero() {
 		u.AsOf = f.clock.Now()
 	}
@@ -233,13 +258,14 @@
 		read = f.readAll
 	}
 	began := f.clock.Now()
+	_, epoch := f.contact.read()
 	err := read(ctx, s)
 	if ctx.Err() != nil {
 		return s
 	}
 	f.recordResult(err, s.failed)
 	if err == nil {
-		f.recordContact(began)
+		f.contact.record(began, epoch)
 	}
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
 	restored := err != nil && kind == keyvalue.Restored
@@ -374,7 +400,11 @@
 	return peerPause
 }
 
+// fetchFromPeer adopts the changes of another host, and relies on having all changes until the time until which
+// that host has. The age in the response is counted from the request, which was sent before the response was made.
 func (f *Follower) fetchFromPeer(ctx context.Context) {
+	asked := f.clock.Now()
+	_, epoch := f.contact.read()
 	d, err := f.fetch(ctx, f.catalogue.Snapshot().Revision)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
@@ -383,4 +413,7 @@
 		return
 	}
 	f.catalogue.Merge(d)
+	if d.ContactAgeMs != nil && *d.ContactAgeMs >= 0 {
+		f.contact.record(asked.Add(-time.Duration(*d.ContactAgeMs)*time.Millisecond), epoch)
+	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -22,6 +22,9 @@
 	version uint64
 	work    balance.Work
 	digest  string
+	// workspace is that of the caller's key, nil for calls without one, and credential the digest of the key.
+	workspace  *route.Workspace
+	credential string
 	// fromPeer is set when another host forwarded the call.
 	fromPeer   bool
 	acceptedAt time.Time // arrival at the host that the caller chose
@@ -109,6 +112,9 @@
 		if r, refused := c.followHomes(); refused {
 			return r
 		}
+		if r, refused := c.checkKey(); refused {
+			return r
+		}
 		c.work.NoLimited = denials >= maxDenials
 		decision, choice := c.decide()
 		local := decision.Local && !choice.NoPath
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -231,6 +231,9 @@
 // took to open a connection.
 func (a *attempt) checkSend() error {
 	g := a.call.gateway
+	if problem := a.call.keyProblem(); problem != "" {
+		return errors.New(problem)
+	}
 	now := g.clock.Now()
 	g.mu.Lock()
 	restricted := (!a.admittedCold && g.balancer.Restricted(now, a.choice.Target.ID)) || g.balancer.CatchUpTime(now) > 0
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,6 +30,8 @@
 	// headerVersion is the software version at which a stream must go on. The response states that of
 	// its target in the same header.
 	headerVersion = "Gateway-Software"
+	// headerCredential is the digest of the caller's key.
+	headerCredential = "Gateway-Credential"
 
 	// headerNumber is the number of a request between hosts. The response repeats it.
 	headerNumber = "Gateway-Number"
@@ -89,10 +91,10 @@
 
 // recordForward counts a call that is sent to another host, and logs one that not every region may serve.
 func (c *activeCall) recordForward(to member.Info) {
-	g, restricted := c.gateway, len(c.route.HomeRegions) > 0
+	g, restricted := c.gateway, c.route.Restricted()
 	g.metrics.add(fmt.Sprintf("forwarded_calls_total{region=%q,homes=\"%t\"}", to.Region, restricted), 1)
 	if restricted {
-		g.log.Info("A call with home regions is forwarded.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions, "Version", c.version,
+		g.log.Info("A call with home regions is forwarded.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions, "WorkspaceHomes", c.route.WorkspaceRegions, "Version", c.version,
 			"Region", g.settings.Region, "To", to.Host, "ToRegion", to.Region, "Repeat", c.arrivals > 0)
 	}
 }
@@ -100,7 +102,7 @@
 // recordOutsideHomes counts and logs a forwarded call whose route this region may not serve.
 func (c *activeCall) recordOutsideHomes(passed core.Hops, senderVersion uint64) {
 	c.gateway.metrics.add("forwarded_calls_outside_homes_total", 1)
-	c.gateway.log.Info("A call came to a region that may not serve its route.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions,
+	c.gateway.log.Info("A call came to a region that may not serve its route.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions, "WorkspaceHomes", c.route.WorkspaceRegions,
 		"Version", c.version, "From", passed.String(), "FromVersion", senderVersion)
 }
 
@@ -122,6 +124,9 @@
 	if c.work.Version != continuation.Unknown {
 		h.Set(headerVersion, formatVersion(c.work.Version))
 	}
+	if c.workspace != nil {
+		h.Set(headerCredential, c.credential)
+	}
 	c.gateway.signRequest(request)
 	return request
 }
@@ -300,6 +305,7 @@
 		return
 	}
 	senderVersion, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
+	c.identify(string(h.Peek(headerCredential)))
 	if !c.route.MayServe(g.settings.Region) {
 		c.recordOutsideHomes(passed, senderVersion)
 	}
@@ -312,6 +318,10 @@
 	if g.refuseOlderSender(ctx, senderVersion, c.version) {
 		return
 	}
+	if r, refused := c.requireWorkspace(); refused {
+		g.refuseForwardedCall(ctx, r.reason)
+		return
+	}
 	c.acceptedAt = c.acceptedAt.Add(-time.Duration(atoi(string(h.Peek(headerAge)))) * time.Millisecond)
 	if left := atoi(string(h.Peek(headerRemaining))); left > 0 {
 		c.deadline = g.clock.Now().Add(time.Duration(left) * time.Millisecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 //	peers.go        requests between hosts
 //	observe.go      metrics, state dump and the log line of a call
 //	events.go       reader of event streams
+//	workspace.go    workspaces of calls, and how long their keys hold
 //	protocol.go     interface to the HTTP protocol of the platform
 //	settings.go     settings file
 package gateway
@@ -171,6 +172,7 @@
 	streamReplies    replies[streamReply]
 	messageAddresses sync.Map // *net.UDPAddr by peer address
 	storeReaders     atomic.Pointer[storeReaders]
+	keyIndex         atomic.Pointer[keyIndex]
 	// configurationFetches joins the requests of calls for a newer configuration.
 	configurationFetches singleflight.Group
 	// observedVersion is the version that observeConfiguration has counted last.
@@ -300,7 +302,7 @@
 	}
 	self := member.Info{
 		Host: g.settings.Host, Region: g.settings.Region, DataCentre: g.settings.DataCentre,
-		CallerAddress: g.settings.CallerAddress, PeerAddress: g.settings.PeerAddress, Incarnation: g.started.UnixMilli(), Protocol: member.ProtocolVersions,
+		CallerAddress: g.settings.CallerAddress, PeerAddress: g.settings.PeerAddress, Incarnation: g.started.UnixMilli(), Protocol: member.ProtocolWorkspaces,
 	}
 	g.gossip = gossip.New(g.gossipConn, g.signer, self,
 		gossip.WithClock(g.clock), gossip.WithLogger(g.log.WithName("gossip")),
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -29,7 +29,7 @@
 // followHomes lets the call go by the newest configuration if the homes of its route have changed since it
 // came. A host without recent news asks the others first. It returns the reply to a call that cannot go on.
 func (c *activeCall) followHomes() (reply, bool) {
-	if g := c.gateway; !c.fromPeer && len(c.route.HomeRegions) > 0 && !g.hasRecentNews() {
+	if g := c.gateway; !c.fromPeer && c.route.Restricted() && !g.hasRecentNews() {
 		g.queryVersions(c.ctx)
 	}
 	if !c.homesChanged() {
@@ -52,7 +52,7 @@
 	if r == nil {
 		return table.Withholds(c.meta.Host, path)
 	}
-	return !slices.Equal(r.HomeRegions, c.route.HomeRegions)
+	return !r.For(c.gateway.workspaceIn(table, c.credential)).SameHomes(c.route)
 }
 
 // hasRecentNews reports whether this host has all changes of the store of before a short time.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -37,9 +37,16 @@
 		return
 	}
 	stripInternalHeaders(&ctx.Request.Header)
-	if c := g.newActiveCall(ctx, false); c != nil {
-		g.serveActiveCall(ctx, c)
+	c := g.newActiveCall(ctx, false)
+	if c == nil {
+		return
+	}
+	c.identify("")
+	if r, refused := c.requireWorkspace(); refused {
+		g.writeHostReply(ctx, r)
+		return
 	}
+	g.serveActiveCall(ctx, c)
 }
 
 // newActiveCall reads the headers of a call and finds its route. Without a configuration or a
@@ -79,9 +86,9 @@
 
 // setRoute lets the call go by a route of a configuration.
 func (c *activeCall) setRoute(table *route.Table, r *route.Route) {
-	c.route, c.version, c.service = r, table.Version(), r.PickService(c.meta.ID)
+	c.route, c.version, c.service = r.For(c.workspace), table.Version(), r.PickService(c.meta.ID)
 	c.work = balance.Work{
-		Service: c.service, Priority: r.Priority, Tokens: c.meta.Tokens, Parts: c.meta.Parts, MaxGap: r.MaxGap, Key: c.meta.ID,
+		Service: c.service, Priority: c.route.Priority, Tokens: c.meta.Tokens, Parts: c.meta.Parts, MaxGap: r.MaxGap, Key: c.meta.ID,
 		NoHold: c.gateway.settings.Policy.HoldShare == 0,
 	}
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -76,10 +76,11 @@
 	return out
 }
 
-// understands reports whether a host can hold to the software version of the call's stream, if it
-// has one.
+// understands reports whether a host can hold to the software version of the call's stream and knows its
+// workspace, as far as it has any.
 func (c *activeCall) understands(m member.Info) bool {
-	return c.work.Version == continuation.Unknown || m.Protocol >= member.ProtocolVersions
+	return (c.work.Version == continuation.Unknown || m.Protocol >= member.ProtocolVersions) &&
+		(c.workspace == nil || m.Protocol >= member.ProtocolWorkspaces)
 }
 
 // recordHostFailure records a forwarded call that the host did not answer. A failure says something of the
--- a/internal/gateway/newer.go
+++ b/internal/gateway/newer.go
@@ -140,6 +140,11 @@
 		return false
 	}
 	streamVersion := c.work.Version
+	if c.workspace != nil {
+		if c.workspace = c.gateway.workspaceIn(table, c.credential); c.workspace == nil {
+			return false
+		}
+	}
 	c.setRoute(table, r)
 	if streamVersion != continuation.Unknown {
 		return c.setVersion(streamVersion)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -194,7 +194,7 @@
 	if succeeded && xxhash.Sum64String(c.meta.ID)%successesPerLogLine != 0 {
 		return
 	}
-	c.gateway.log.Info("A call ended.", "ID", c.meta.ID, "Route", c.route.Name, "Service", c.service, "Version", c.version, "NewsAgeMs", c.newsAgeMs,
+	c.gateway.log.Info("A call ended.", "ID", c.meta.ID, "Route", c.route.Name, "Workspace", c.workspaceName(), "Service", c.service, "Version", c.version, "NewsAgeMs", c.newsAgeMs,
 		"Received", c.fromPeer, "Status", status, "Outcome", outcome.String(), "Reason", reason,
 		"TookMs", took.Milliseconds(), "HeldMs", c.heldFor.Milliseconds(), "Diverted", c.diverted, "FirstMs", c.firstByteMs(), "LongestPauseMs", c.longestPause.Milliseconds(), "Sends", c.attempts, "Steps", c.steps, "Since", c.acceptedAt.UTC().Format(time.RFC3339Nano))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,8 +39,10 @@
 		h.Method(), h.RequestURI(), h.Peek(headerRemaining), h.Peek(headerAge), h.Peek(headerSpilled), h.Peek(headerLastEvent),
 		h.Peek(core.HeaderPassed), h.Peek(core.HeaderVersion), request.Body(),
 	}
-	if version := h.Peek(headerVersion); len(version) > 0 { // hosts of builds without versions sign the others only
-		parts = append(parts, version)
+	for _, name := range []string{headerVersion, headerCredential} { // hosts of builds without them sign the others only
+		if value := h.Peek(name); len(value) > 0 {
+			parts = append(parts, value)
+		}
 	}
 	return parts
 }
@@ -109,11 +111,13 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	age := g.contactAgeMs() // read first, as the changes must not be older
 	difference, changed := g.catalogue.Since(after)
-	if !changed {
+	if !changed && age == nil {
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return
 	}
+	difference.ContactAgeMs = age
 	g.writeJSON(ctx, difference)
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -20,6 +20,11 @@
 	// Tokens is the length of the prompt, and Parts are its cacheable parts.
 	Tokens int
 	Parts  []balance.Part
+	// QuotaTokens is what the call counts against a quota of tokens, negative if it does not say.
+	QuotaTokens float64
+	// Key is the caller's key, empty if there is none. AmbiguousKey is set if there are several.
+	Key          string
+	AmbiguousKey bool
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string
 	// Resumes is the ID of the call that brought the first event of that stream, empty if the
@@ -31,6 +36,8 @@
 type TargetRequest struct {
 	// Instance is the ID of the target. A target with another ID must refuse the request.
 	Instance string
+	// Workspace is the name of the caller's workspace, empty for calls without a key.
+	Workspace string
 	// Timeout is how long the target may take.
 	Timeout time.Duration
 	// Priority orders requests at the target; 0 is the most urgent. HasPriority is set if
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -204,7 +204,7 @@
 	c.gateway.sendChange(target.ID, c.work)
 	c.triedTargets = append(c.triedTargets, target.ID)
 	request := c.newTargetRequest(TargetRequest{
-		Instance: target.ID, Timeout: c.remaining(), Priority: c.route.Priority, HasPriority: c.work.Tokens > 0, FetchFrom: choice.Source.Address,
+		Instance: target.ID, Workspace: c.workspaceName(), Timeout: c.remaining(), Priority: c.route.Priority, HasPriority: c.work.Tokens > 0, FetchFrom: choice.Source.Address,
 	})
 	defer fasthttp.ReleaseRequest(request)
 	response, err := c.gateway.targetPool.DoIf(a.ctx, target.Address, request, a.checkSend)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,6 +49,10 @@
 	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
 	// DirectoryTTLSeconds is how long callers may cache a response of the directory.
 	DirectoryTTLSeconds float64 `json:"DirectoryTTLSeconds"`
+	// RevocationMs is how long a key may work once the store has accepted its withdrawal, also at hosts that are
+	// out of touch. A host that cannot prove for that time that its configuration is the newest one refuses calls with
+	// a key. 0 means that hosts go by the newest configuration that they have.
+	RevocationMs float64 `json:"RevocationMs,omitempty"`
 	// Policy has the weights of the routing decisions. Missing fields have their defaults.
 	Policy balance.Policy `json:"Policy"`
 	// MaxDescriptors bounds the file descriptors of the process, beside the limit of the operating
@@ -111,6 +115,7 @@
 	require(s.RetryRatio >= 0 && s.RetrySlack >= 0, "RetryRatio", "expected no negative figures")
 	require(s.RetryWindowSeconds > 0, "RetryWindowSeconds", "expected positive seconds, got %g", s.RetryWindowSeconds)
 	require(s.DirectoryTTLSeconds > 0, "DirectoryTTLSeconds", "expected positive seconds, got %g", s.DirectoryTTLSeconds)
+	require(s.RevocationMs == 0 || s.RevocationMs >= minRevocationMs, "RevocationMs", "expected 0 or at least %d, got %g", minRevocationMs, s.RevocationMs)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	return append(problems, s.Policy.Check("Policy")...)
--- a/internal/member/info.go
+++ b/internal/member/info.go
@@ -62,6 +62,10 @@
 // resume streams only at the software version that they are told.
 const ProtocolVersions = 1
 
+// ProtocolWorkspaces is the Protocol from which on hosts know the workspaces of calls, and take a forwarded call
+// that names the key of its caller by a digest.
+const ProtocolWorkspaces = 2
+
 // stampsPerMs is the number of stamps reserved for the refutations of each millisecond of
 // incarnation.
 const stampsPerMs = 1000
--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -35,6 +35,7 @@
 	for i := range d.Routes {
 		c.checkRoute(fmt.Sprintf("Routes[%d]", i), &d.Routes[i])
 	}
+	c.checkWorkspaces(d.Workspaces)
 	if len(c.problems) == 0 {
 		return nil
 	}
--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -56,6 +56,11 @@
 	Sticky bool
 	// Resumable streams can continue at another target after the last event received.
 	Resumable bool
+	// Public routes also serve calls without a key.
+	Public bool
+	// WorkspaceRegions are the regions that may serve the workspace of a call, beside HomeRegions; empty means
+	// all. Only the routes that For returns have them.
+	WorkspaceRegions []string
 }
 
 // Repeatable reports whether a call may be sent again after it may have run.
@@ -65,15 +70,20 @@
 
 // MayServe reports whether a region may serve the route.
 func (r *Route) MayServe(region string) bool {
-	if len(r.HomeRegions) == 0 {
-		return true
-	}
-	for _, home := range r.HomeRegions {
-		if home == region {
-			return true
-		}
-	}
-	return false
+	return isHome(r.HomeRegions, region) && isHome(r.WorkspaceRegions, region)
+}
+
+// Restricted reports whether there are regions that may not serve the route.
+func (r *Route) Restricted() bool { return len(r.HomeRegions)+len(r.WorkspaceRegions) > 0 }
+
+// SameHomes reports whether the same regions may serve both routes.
+func (r *Route) SameHomes(other *Route) bool {
+	return slices.Equal(r.HomeRegions, other.HomeRegions) && slices.Equal(r.WorkspaceRegions, other.WorkspaceRegions)
+}
+
+// isHome reports whether a region is in a list of homes, of which an empty one has all regions.
+func isHome(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
 // Service is a set of targets that answer the same calls.
@@ -111,6 +121,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// RequiresKeys is set if calls must carry the key of a workspace, except on public routes.
+	RequiresKeys bool
+	Workspaces   []Workspace
 	// Withheld are the locations of routes that cannot be used. No region may serve their calls, by
 	// routes with shorter path prefixes either.
 	Withheld []Location
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -110,6 +110,12 @@
 	return t.longestStream
 }
 
+// RequiresKeys reports whether calls must carry the key of a workspace, except on public routes.
+func (t *Table) RequiresKeys() bool { return t.document.RequiresKeys }
+
+// Workspaces returns the workspaces of the configuration. The caller must not change them.
+func (t *Table) Workspaces() []Workspace { return t.document.Workspaces }
+
 // Service returns a service of the configuration, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/route/usable.go
+++ b/internal/route/usable.go
@@ -11,7 +11,7 @@
 // are left out only if no call can be routed by them, and withheld if calls can match them.
 func Usable(d Document) (Document, Problems) {
 	var problems Problems
-	out := Document{Version: d.Version, Limits: d.Limits, Withheld: slices.Clone(d.Withheld)}
+	out := Document{Version: d.Version, Limits: d.Limits, RequiresKeys: d.RequiresKeys, Withheld: slices.Clone(d.Withheld)}
 	listed := map[string]bool{}
 	for i, s := range d.Services {
 		path := fmt.Sprintf("Services[%d]", i)
@@ -42,6 +42,7 @@
 			}
 		}
 	}
+	out.Workspaces = usableWorkspaces(d.Workspaces, &problems)
 	return out, problems
 }
 
