--- /dev/null
+++ b/internal/allowance/limiter_test.go
@@ -0,0 +1,169 @@
+package allowance_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiarack/sequoiarack/internal/allowance"
+)
+
+const workspace = "acme"
+
+func always(multiple float64) func() float64 { return func() float64 { return multiple } }
+
+// expectBound checks the bound of the requirement in every window, with a constant limit.
+func (s *simulation) expectBound(name string) {
+	limit := s.limits[name]
+	excess, at := s.busiest(name, func(_, _ time.Time) allowance.Limit { return limit })
+	ExpectWithOffset(1, excess).To(BeNumerically("<=", 0), "in the window from %s", at.Format("05.000"))
+}
+
+var _ = Describe("a connected fleet", func() {
+	for _, c := range []struct {
+		hosts, regions int
+		limit          allowance.Limit
+		place          string
+		span           time.Duration
+	}{
+		{1, 1, allowance.Limit{PerSecond: 300_000, Burst: 300_000}, "one", 40 * time.Second},
+		{3, 3, allowance.Limit{PerSecond: 300_000, Burst: 300_000}, "one", 40 * time.Second},
+		{3, 3, allowance.Limit{PerSecond: 300_000, Burst: 300_000}, "even", 40 * time.Second},
+		{12, 3, allowance.Limit{PerSecond: 1_000_000, Burst: 1_000_000}, "one", 30 * time.Second},
+		{69, 3, allowance.Limit{PerSecond: 1_000_000, Burst: 1_000_000}, "even", 30 * time.Second},
+		{142, 3, allowance.Limit{PerSecond: 300_000, Burst: 300_000}, "one", 30 * time.Second},
+		{142, 3, allowance.Limit{PerSecond: 300_000, Burst: 300_000}, "region", 30 * time.Second},
+		{142, 3, allowance.Limit{PerSecond: 4_000_000, Burst: 4_000_000}, "even", 20 * time.Second},
+		{1000, 3, allowance.Limit{PerSecond: 300_000, Burst: 300_000}, "even", 15 * time.Second},
+	} {
+		for _, multiple := range []float64{1.05, 6} {
+			if c.hosts == 1000 && multiple != 6 {
+				continue
+			}
+			// Guards against a quota that is only partly usable, from one host or from all, and against one
+			// that a workspace exceeds by sending more.
+			It(fmt.Sprintf("serves the quota of %d hosts in %d regions to %.2f times of it, place %s", c.hosts, c.regions, multiple, c.place), func() {
+				s := newSimulation(uint64(c.hosts), c.hosts, c.regions, map[string]allowance.Limit{workspace: c.limit})
+				pick := map[string]func() *host{
+					"one":    func() *host { return s.hosts[0] },
+					"even":   func() *host { return s.hosts[s.rng.IntN(len(s.hosts))] },
+					"region": func() *host { return s.hosts[3*s.rng.IntN(len(s.hosts)/3)] },
+				}[c.place]
+				if c.hosts == 1 {
+					s.run(15*time.Second, func() {}) // until it takes itself for the only one
+				}
+				tick := s.load(workspace, always(multiple), pick)
+				s.run(4*time.Second, tick)
+				since := s.now
+				s.run(c.span, tick)
+				share := s.granted(workspace, since) / (c.span.Seconds() * c.limit.PerSecond)
+				AddReportEntry("share of the quota", share)
+				Expect(share).To(BeNumerically(">=", 0.97))
+				s.expectBound(workspace)
+			})
+		}
+	}
+})
+
+// disturb lets a fault of a random kind happen for some seconds.
+func (s *simulation) disturb() {
+	span := seconds(s.between(1, 9))
+	switch s.rng.IntN(7) {
+	case 0: // a region is cut off
+		region := regionNames[s.rng.IntN(len(regionNames))]
+		s.partition(func(h *host) int {
+			if h.region == region {
+				return 1
+			}
+			return 0
+		})
+	case 1: // a host is cut off
+		alone := s.hosts[s.rng.IntN(len(s.hosts))]
+		s.partition(func(h *host) int {
+			if h == alone {
+				return 1
+			}
+			return 0
+		})
+	case 2: // all regions are cut off from each other
+		s.partition(func(h *host) int { return int(h.region[0]) })
+	case 3: // all hosts restart at once
+		for _, h := range s.hosts {
+			s.crash(h)
+		}
+		for _, h := range s.hosts {
+			s.start(h)
+		}
+	case 4: // several hosts crash, and start again
+		for _, h := range s.hosts {
+			if s.rng.Float64() < 0.3 {
+				s.crash(h)
+				s.at(span, func() { s.start(h) })
+			}
+		}
+	case 5:
+		s.loss, s.duplicates, s.delay = s.between(0, 0.5), s.between(0, 0.5), seconds(s.between(0, 1))
+		s.at(span, func() { s.loss, s.duplicates, s.delay = 0, 0, 0 })
+	default:
+		s.partition(func(*host) int { return 0 })
+	}
+	if s.rng.IntN(2) == 0 {
+		s.at(span, func() { s.partition(func(*host) int { return 0 }) })
+	}
+}
+
+var _ = Describe("a fleet with faults", func() {
+	for seed := range uint64(60) {
+		// Guards against tokens that are used twice, and against hosts that generate more than their share, in
+		// any order of crashes, restarts, partitions, lost, late and repeated messages, and changed quotas.
+		It(fmt.Sprintf("keeps the quota, seed %d", seed), func() {
+			hosts := []int{3, 6, 12, 30}[seed%4]
+			rate := []float64{20_000, 300_000, 1_000_000}[seed%3]
+			limits := map[string]allowance.Limit{workspace: {PerSecond: rate, Burst: rate}}
+			s := newSimulation(seed, hosts, 3, limits)
+			s.refundShare = []float64{0, 0.05, 0.2}[seed/3%3]
+			type change struct {
+				at    time.Time
+				limit allowance.Limit
+			}
+			changes := []change{{s.now, limits[workspace]}}
+			one, multiple, now := s.hosts[0], 1.0, s.now
+			tick := s.load(workspace, func() float64 { return multiple }, func() *host {
+				if one != nil {
+					return one
+				}
+				return s.hosts[s.rng.IntN(len(s.hosts))]
+			})
+			for s.now.Sub(now) < 60*time.Second {
+				s.disturb()
+				multiple = []float64{0, 0.5, 6, 20}[s.rng.IntN(4)]
+				one = nil
+				if s.rng.IntN(2) == 0 {
+					one = s.hosts[s.rng.IntN(len(s.hosts))]
+				}
+				if s.rng.IntN(4) == 0 {
+					limit := allowance.Limit{PerSecond: rate * s.between(0.3, 2)}
+					limit.Burst = limit.PerSecond * s.between(0, 1.5)
+					changes = append(changes, change{s.now, limit})
+					s.limits = map[string]allowance.Limit{workspace: limit}
+					for _, h := range s.hosts {
+						h.limiter.Configure(s.now, s.limits)
+					}
+				}
+				s.run(seconds(s.between(0.3, 5)), tick)
+			}
+			excess, at := s.busiest(workspace, func(from, to time.Time) allowance.Limit {
+				var out allowance.Limit
+				for i, c := range changes {
+					if c.at.Before(to) && (i+1 == len(changes) || changes[i+1].at.After(from)) {
+						out.PerSecond, out.Burst = max(out.PerSecond, c.limit.PerSecond), max(out.Burst, c.limit.Burst)
+					}
+				}
+				return out
+			})
+			Expect(excess).To(BeNumerically("<=", 0), "in the window from %s after the start", at.Sub(now))
+		})
+	}
+})
