internal/gateway: keep the quotas of workspaces

The host that a caller chose charges the workspace before any attempt, and refunds the cost once if the call ends without having run. Queries of owners, and the messages between limiters, are datagrams beside the load reports.

--- a/internal/allowance/fleet.go
+++ b/internal/allowance/fleet.go
@@ -30,7 +30,7 @@
 	Regions []Region
 	// Settled is set once the host knows the other hosts: before, it generates no tokens.
 	Settled bool
-	// Leaving is set when the host is about to stop.
+	// Leaving is set when the host is about to stop and others remain: it generates no more tokens.
 	Leaving bool
 }
 
@@ -59,9 +59,15 @@
 	Live bool
 }
 
+// SameFleet reports whether NewFleet returns the same for both views.
+func (v View) SameFleet(w View) bool {
+	return v.Leaving == w.Leaving && v.Uptime > settleTime == (w.Uptime > settleTime) && v.Uptime > aloneSettleTime == (w.Uptime > aloneSettleTime) &&
+		slices.Equal(v.Hosts, w.Hosts)
+}
+
 // NewFleet returns the fleet as a host sees it.
 func NewFleet(v View) Fleet {
-	f := Fleet{Own: v.Region, Leaving: v.Leaving}
+	f := Fleet{Own: v.Region, Leaving: v.Leaving && slices.ContainsFunc(v.Hosts, func(h Host) bool { return h.Live && h.Name != v.Self })}
 	f.Settled = v.Uptime > aloneSettleTime || v.Uptime > settleTime && len(v.Hosts) > 1
 	live, counts := map[string][]string{}, map[string]int{}
 	for _, h := range v.Hosts {
--- a/internal/allowance/limiter.go
+++ b/internal/allowance/limiter.go
@@ -38,6 +38,9 @@
 	Unavailable
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string { return [...]string{"granted", "denied", "ask", "unavailable"}[o] }
+
 // Decision is what is to be done with a call.
 type Decision struct {
 	Outcome Outcome
@@ -234,6 +237,10 @@
 	switch {
 	case r.Granted:
 		return Decision{}
+	case r.Unready && (d.Fallback || d.redirected):
+		return Decision{Outcome: Unavailable}
+	case r.Unready:
+		return l.unready(now, a)
 	case r.Redirect == "" || d.redirected:
 		return denied
 	case now.Before(l.silent[r.Redirect]):
@@ -245,6 +252,15 @@
 	}
 }
 
+// unready returns the decision for a call whose owner gets no tokens yet.
+func (l *Limiter) unready(now time.Time, a *account) Decision {
+	d := l.fallback(now, a, Decision{Outcome: Ask})
+	if d.Owner == "" {
+		return Decision{Outcome: Unavailable}
+	}
+	return d
+}
+
 // Unanswered returns the decision after the query of d was not answered in time.
 func (l *Limiter) Unanswered(now time.Time, workspace string, d Decision) Decision {
 	l.silent[d.Owner] = now.Add(silencePause)
@@ -290,6 +306,15 @@
 	a.refunds += cost
 }
 
+// OwnedShares returns the share of the fleet's rate that comes to this host, by shard.
+func (l *Limiter) OwnedShares(now time.Time) [Shards]float64 {
+	var out [Shards]float64
+	for i := range l.shards {
+		out[i] = l.ownedShare(now, &l.shards[i])
+	}
+	return out
+}
+
 // Stats returns what the limiter has done.
 func (l *Limiter) Stats() Stats { return l.stats }
 
--- a/internal/allowance/message.go
+++ b/internal/allowance/message.go
@@ -36,11 +36,12 @@
 	Cost      float64 `cbor:"2,keyasint"`
 }
 
-// Reply answers a Query. Redirect names another owner to query.
+// Reply answers a Query. Redirect names another owner to query. Unready is set if the owner gets no tokens yet.
 type Reply struct {
 	Granted      bool   `cbor:"1,keyasint,omitempty"`
 	RetryAfterMs int64  `cbor:"2,keyasint,omitempty"`
 	Redirect     string `cbor:"3,keyasint,omitempty"`
+	Unready      bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // sequenceWords is the size of a sequenceWindow: 256 messages, more than a host sends in several seconds.
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -93,11 +93,12 @@
 	}
 }
 
-// HandleQuery decides about a call of another host.
+// HandleQuery decides about a call of another host. A workspace without a quota is one of a configuration that
+// this host does not have yet, or no longer.
 func (l *Limiter) HandleQuery(now time.Time, q Query) Reply {
 	a := l.accounts[q.Workspace]
 	if a == nil || !(q.Cost > 0) {
-		return Reply{Granted: true}
+		return Reply{Unready: true}
 	}
 	return l.decide(now, a, q.Cost)
 }
@@ -118,6 +119,8 @@
 	}
 	reply := Reply{RetryAfterMs: retryAfter(a, min(cost-overdraft, a.limit.burst()*share)-a.balance(now), share).Milliseconds()}
 	switch {
+	case share == 0 && s.owner == l.self:
+		reply.Unready = true
 	case s.owner != l.self:
 		reply.Redirect = s.owner
 	case cost > overdraft && a.overdraftRegion != l.fleet.Own:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,8 @@
 	// workspace is that of the caller's key, nil for calls without one, and credential the digest of the key.
 	workspace  *route.Workspace
 	credential string
+	// charged is what the call has cost its workspace at this host.
+	charged float64
 	// fromPeer is set when another host forwarded the call.
 	fromPeer   bool
 	acceptedAt time.Time // arrival at the host that the caller chose
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 //	observe.go      metrics, state dump and the log line of a call
 //	events.go       reader of event streams
 //	workspace.go    workspaces of calls, and how long their keys hold
+//	quota.go        quotas of workspaces
 //	protocol.go     interface to the HTTP protocol of the platform
 //	settings.go     settings file
 package gateway
@@ -48,6 +49,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/sequoiarack/sequoiarack/internal/allowance"
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/clock"
@@ -167,6 +169,7 @@
 	invalidHeaders map[string]string // last logged one, by target and name
 	rng            *rand.Rand
 
+	quotas           quotas
 	loadReplies      replies[loadReply]
 	admissionReplies replies[admissionReply]
 	streamReplies    replies[streamReply]
@@ -249,6 +252,7 @@
 	}
 	g.suspendedFor = g.sinceBoot()
 	g.started = g.clock.Now()
+	g.quotas.limiter = allowance.New(s.Host, g.started)
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
 	g.callers = g.newLimiter(callerServer, callerShare)
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
@@ -337,6 +341,7 @@
 	group.Go("load report sender", g.sendLoadReports)
 	group.Go("load report receiver", g.receiveMessages)
 	group.Go("limit lender", g.lendLimits)
+	group.Go("quota keeper", g.keepQuotas)
 	group.Go("examiner", g.examineCrashes)
 	group.Go("health checker", g.checkHealth)
 	group.Go("path prober", g.probePaths)
@@ -379,6 +384,7 @@
 	g.log.Info("The host is leaving.", "InFlight", g.inFlight.Load(), "NoticeMs", notice.Milliseconds(), "TotalMs", total.Milliseconds())
 	g.drain.Store(&drainPeriod{noticeEnd: began.Add(notice), end: began.Add(total)})
 	g.leaving.Store(true)
+	g.updateQuotaFleet() // before the others count this host out
 	g.gossip.Leave()
 	<-g.clock.After(notice)
 	ctx, cancel := context.WithTimeout(context.Background(), total-notice)
@@ -406,6 +412,7 @@
 		g.observeConfiguration(s)
 		g.callers.SetTimeouts(s.Table.Limits().IdleTimeout, s.Table.Limits().HeaderTimeout)
 	}
+	g.quotas.configure(g.clock.Now(), s.Table)
 	g.mu.Lock()
 	restarts := g.balancer.Configure(g.clock.Now(), s)
 	g.mu.Unlock()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -129,10 +129,14 @@
 	if !refused {
 		r, refused = c.requireVersion()
 	}
+	if !refused {
+		r, refused = c.chargeQuota()
+	}
 	if !refused {
 		c.setYoungVersions()
 		r = c.run()
 	}
+	c.refundQuota(r)
 	if r.upstream == nil {
 		g.writeHostReply(ctx, r)
 		c.setForwardHeaders(&ctx.Response.Header)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiarack/sequoiarack/internal/allowance"
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/core"
@@ -101,6 +102,7 @@
 		_, _ = fmt.Fprintf(ctx, "sequoiarack_store_revision %d\nsequoiarack_targets %d\nsequoiarack_calls_running %d\nsequoiarack_hosts %d\n",
 			snapshot.Revision, len(snapshot.Targets), g.inFlight.Load(), len(g.gossip.View().Members))
 		_, _ = fmt.Fprintf(ctx, "sequoiarack_configuration_version %d\nsequoiarack_news_age_ms %d\n", g.configurationVersion(), g.newsAgeMs(g.clock.Now()))
+		g.quotas.writeMetrics(g.clock.Now(), ctx)
 	case pathState:
 		g.writeJSON(ctx, g.Dump())
 	default:
@@ -134,6 +136,8 @@
 	// SuspectedParts and QuarantinedParts count parts of prompts that may crash targets.
 	SuspectedParts   int
 	QuarantinedParts int
+	// Quotas are the workspaces with a quota.
+	Quotas []allowance.Row
 }
 
 // Dump returns the state of the host.
@@ -149,6 +153,7 @@
 		d.Version, d.VersionSource, d.VersionAgeMs = snapshot.Table.Version(), snapshot.Origin.Source, now.Sub(snapshot.Origin.At).Milliseconds()
 	}
 	d.NewsAgeMs, d.StoreReader = g.newsAgeMs(now), g.storeReaderOf(g.settings.DataCentre)
+	d.Quotas = g.quotas.dump(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.Targets, d.Reach = g.balancer.Dump(now), g.balancer.Reach().String()
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiarack/sequoiarack/internal/allowance"
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
@@ -66,6 +67,11 @@
 	Brittle []balance.BrittleReport `cbor:"21,keyasint,omitempty"`
 	// ContactAgeMs is the time since the store answered the sender, or the host that reads for it.
 	ContactAgeMs *int64 `cbor:"22,keyasint,omitempty"`
+	// QuotaQuery and QuotaReply are exchanged before a call of a workspace with a quota runs, and Quota
+	// periodically, with the owners of the quotas. Hosts of builds without quotas get none of them.
+	QuotaQuery *quotaQuery        `cbor:"23,keyasint,omitempty"`
+	QuotaReply *quotaReply        `cbor:"24,keyasint,omitempty"`
+	Quota      *allowance.Message `cbor:"25,keyasint,omitempty"`
 }
 
 // sendLoadReports sends load reports to other hosts until ctx is done.
@@ -253,6 +259,12 @@
 		g.answerStreamQuery(m.Host, *m.StreamQuery)
 	case m.StreamReply != nil:
 		g.streamReplies.deliver(m.StreamReply.ID, *m.StreamReply)
+	case m.QuotaQuery != nil:
+		g.answerQuotaQuery(m.Host, *m.QuotaQuery)
+	case m.QuotaReply != nil:
+		g.quotas.replies.deliver(m.QuotaReply.ID, *m.QuotaReply)
+	case m.Quota != nil:
+		g.applyQuota(m)
 	default:
 		g.applyMessage(m)
 	}
--- a/internal/gateway/standstill.go
+++ b/internal/gateway/standstill.go
@@ -31,6 +31,7 @@
 	}
 	g.follower.ForgetContact()
 	g.balancer.Resume(now)
+	g.quotas.invalidate(now)
 	g.metrics.add("suspensions_total", 1)
 	g.log.Info("The machine was suspended.", "Ms", suspended.Milliseconds())
 }
