--- a/internal/gateway/newer.go
+++ b/internal/gateway/newer.go
@@ -141,9 +141,11 @@
 	}
 	streamVersion := c.work.Version
 	if c.workspace != nil {
-		if c.workspace = c.gateway.workspaceIn(table, c.credential); c.workspace == nil {
+		w := c.gateway.workspaceIn(table, c.credential)
+		if w == nil {
 			return false
 		}
+		c.workspace = w
 	}
 	c.setRoute(table, r)
 	if streamVersion != continuation.Unknown {
