internal/gateway: use half of the tolerated overage of quotas as burst

Change: the burst of a quota is larger by half of the overage that the operator tolerates, QuotaOverage over QuotaWindowSeconds.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -412,7 +412,7 @@
 		g.observeConfiguration(s)
 		g.callers.SetTimeouts(s.Table.Limits().IdleTimeout, s.Table.Limits().HeaderTimeout)
 	}
-	g.quotas.configure(g.clock.Now(), s.Table)
+	g.quotas.configure(g.clock.Now(), s.Table, g.settings)
 	g.mu.Lock()
 	restarts := g.balancer.Configure(g.clock.Now(), s)
 	g.mu.Unlock()
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -24,6 +24,9 @@
 	idleQuotaInterval = 500 * time.Millisecond
 	// quotaFleetInterval is the interval at which the hosts of the fleet are read.
 	quotaFleetInterval = 200 * time.Millisecond
+	// overageShare is the part of the tolerated overage that is added to the burst of quotas. The rest is for hosts
+	// that do not know of each other.
+	overageShare = 0.5
 	// maxQuotaQueries bounds the queries of one call: of the owner, of one in its place, and of the one that
 	// this names.
 	maxQuotaQueries = 3
@@ -67,7 +70,7 @@
 }
 
 // configure sets the quotas of a configuration.
-func (q *quotas) configure(now time.Time, table *route.Table) {
+func (q *quotas) configure(now time.Time, table *route.Table, s Settings) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if table == nil || table == q.table {
@@ -76,7 +79,8 @@
 	limits := map[string]allowance.Limit{}
 	for _, w := range table.Workspaces() {
 		if w.Quota.Limited() {
-			limits[w.Name] = allowance.Limit{PerSecond: w.Quota.PerSecond, Burst: w.Quota.Burst}
+			tolerated := s.QuotaOverage * (s.QuotaWindowSeconds*w.Quota.PerSecond + w.Quota.Burst)
+			limits[w.Name] = allowance.Limit{PerSecond: w.Quota.PerSecond, Burst: w.Quota.Burst + overageShare*tolerated}
 		}
 	}
 	q.table, q.limited = table, len(limits) > 0
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -53,6 +53,11 @@
 	// out of touch. A host that cannot prove for that time that its configuration is the newest one refuses calls with
 	// a key. 0 means that hosts go by the newest configuration that they have.
 	RevocationMs float64 `json:"RevocationMs,omitempty"`
+	// QuotaOverage is the part by which the calls of a workspace may exceed its quota in any period of
+	// QuotaWindowSeconds. Hosts use half of it for a larger burst, so that calls within the quota are not refused while
+	// tokens are on their way between hosts.
+	QuotaOverage       float64 `json:"QuotaOverage,omitempty"`
+	QuotaWindowSeconds float64 `json:"QuotaWindowSeconds,omitempty"`
 	// Policy has the weights of the routing decisions. Missing fields have their defaults.
 	Policy balance.Policy `json:"Policy"`
 	// MaxDescriptors bounds the file descriptors of the process, beside the limit of the operating
@@ -116,6 +121,8 @@
 	require(s.RetryWindowSeconds > 0, "RetryWindowSeconds", "expected positive seconds, got %g", s.RetryWindowSeconds)
 	require(s.DirectoryTTLSeconds > 0, "DirectoryTTLSeconds", "expected positive seconds, got %g", s.DirectoryTTLSeconds)
 	require(s.RevocationMs == 0 || s.RevocationMs >= minRevocationMs, "RevocationMs", "expected 0 or at least %d, got %g", minRevocationMs, s.RevocationMs)
+	require(s.QuotaOverage >= 0 && s.QuotaOverage <= 1, "QuotaOverage", "expected a number from 0 to 1, got %g", s.QuotaOverage)
+	require(s.QuotaWindowSeconds >= 0, "QuotaWindowSeconds", "expected no negative number, got %g", s.QuotaWindowSeconds)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	return append(problems, s.Policy.Check("Policy")...)
