internal/exchange: keep the values of header lines out of the log

Cause: the log line of a request outside the grammar quoted the faulty line, and the error of the HTTP library all that it had read: with a blank after its name, a key of a caller stood in the log.

Change: errors of requests show names and lengths, and those of the library end before what they quote.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -72,6 +72,16 @@
 	return strconv.QuoteToASCII(string(line[:min(len(line), maxQuotedBytes)]))
 }
 
+// quoteName returns the begin of the name in a field line for an error. Values may be secret, such as the keys of
+// callers, and so may a line without a colon, which continues a value for some readers.
+func quoteName(line []byte) string {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return strconv.Itoa(len(line)) + " bytes without a colon"
+	}
+	return quote(name) + ", " + strconv.Itoa(len(value)) + " bytes"
+}
+
 // readLines reads the lines of the head up to the empty one.
 func (r *headReader) readLines() error {
 	line, err := r.readLine()
@@ -172,10 +182,10 @@
 // RFC 9112. The library that has parsed it joins continued lines and takes names with blanks.
 func CheckRequest(h *fasthttp.RequestHeader) error {
 	if method := h.Method(); len(method) == 0 || !isToken(method) {
-		return malformed("method", "%s", quote(method))
+		return malformed("method", "%s", quoteName(method)) // a field line after a body of a wrong length, or so it may be
 	}
 	if target := h.RequestURI(); len(target) == 0 || bytes.ContainsAny(target, " \t") || !isFieldValue(target) {
-		return malformed("request target", "%s", quote(target))
+		return malformed("request target", "%d bytes", len(target))
 	}
 	if len(h.PeekTrailerKeys()) > 0 {
 		if err := checkFields(h.TrailerHeader()); err != nil {
@@ -193,7 +203,7 @@
 			return nil
 		}
 		if !ok {
-			return malformed("line end", "%s", quote(line))
+			return malformed("line end", "%s", quoteName(line))
 		}
 		if _, _, err := cutField(line); err != nil {
 			return err
@@ -206,10 +216,10 @@
 func cutField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || len(name) == 0 || !isToken(name) {
-		return nil, nil, malformed("field name", "%s", quote(line))
+		return nil, nil, malformed("field name", "%s", quoteName(line))
 	}
 	if !isFieldValue(value) {
-		return nil, nil, malformed("field value", "%s", quote(line))
+		return nil, nil, malformed("field value", "%s", quoteName(line))
 	}
 	return name, bytes.Trim(value, " \t"), nil
 }
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -146,7 +147,8 @@
 		ctx.Error("the request took too long", fasthttp.StatusRequestTimeout)
 	default:
 		if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &timeout) {
-			g.recordMalformedRequest(server, ctx, err)
+			offence, _, _ := strings.Cut(err.Error(), `"`) // the library quotes what it has read, with the caller's key
+			g.recordMalformedRequest(server, ctx, offence)
 		}
 		ctx.Error("the request can't be read", fasthttp.StatusBadRequest)
 	}
@@ -161,7 +163,7 @@
 		stripTrailer(&ctx.Request.Header, g.protocol)
 		return true
 	}
-	g.recordMalformedRequest(server, ctx, err)
+	g.recordMalformedRequest(server, ctx, err.Error())
 	g.writeHostReply(ctx, reply{status: fasthttp.StatusBadRequest, outcome: core.NotRun, reason: "the request is outside the grammar of HTTP"})
 	if server == peerServer {
 		ctx.Response.Header.Set(headerArrivals, "0")
@@ -171,9 +173,9 @@
 }
 
 // recordMalformedRequest counts and logs a request that is outside the grammar of HTTP.
-func (g *Gateway) recordMalformedRequest(server string, ctx *fasthttp.RequestCtx, err error) {
+func (g *Gateway) recordMalformedRequest(server string, ctx *fasthttp.RequestCtx, offence string) {
 	g.metrics.add(fmt.Sprintf("malformed_requests_total{server=%q}", server), 1)
-	g.log.Info("A request is outside the grammar of HTTP.", "Server", server, "Address", ctx.RemoteAddr().String(), "Offence", err.Error())
+	g.log.Info("A request is outside the grammar of HTTP.", "Server", server, "Address", ctx.RemoteAddr().String(), "Offence", offence)
 }
 
 // headerExceeds reports whether the header of a request is longer than the configuration allows.
