internal/gateway: hold to the newest holder of a key, and prove no more than is known

A host that had just been suspended told others an age of its news without the suspension, in answers to requests for changes and in updates that had waited; ages were rounded down at each hop; an update whose time was found out before a suspension counted after it; a stated age could overflow. A call that waited ran for the workspace that had held its key when it came, also outside homes that had changed meanwhile; one of before the first configuration with workspaces was refused with 401 though it had a key; a public route refused a call whose key was withdrawn while it waited. Hosts whose lists of fleet keys began with different keys did not know each other's digests. A host out of touch answered 401 for a key that may be new. A version of a stream and a credential were signed alike.

Change: ages are stated once a suspension is noticed, and rounded up. A Contact has the epoch of before its time was found out. A host asks others for changes once its news is 2.5 s old, also while a call to the store hangs. The workspace of a call is looked up before each attempt and at the send, and so are its homes at the send; the digests of all fleet keys identify a key; an unknown key is refused with 503 unless the news is recent.

--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -270,7 +270,7 @@
 		Eventually(group.sent).WithTimeout(5 * time.Second).Should(Receive())
 
 		changes := []keyvalue.Event{put("config", "2", 5), put("target/a", "1 2 draining", 6), removal("target/b", 7)}
-		follower.HandleUpdate(catalogue.Update{Partial: true, Events: changes}, time.Time{})
+		follower.HandleUpdate(catalogue.Update{Partial: true, Events: changes}, catalogue.Contact{})
 		Eventually(group.sent).Should(Receive(HaveField("Partial", true))) // and the peer does not receive it
 		store.changes <- changes
 		var update catalogue.Update
@@ -299,11 +299,11 @@
 		})
 		Eventually(follower.LastContact).Should(Equal(asked))
 
-		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, time.Time{})
+		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, catalogue.Contact{})
 		Expect(follower.LastContact()).To(Equal(asked))
-		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, asked.Add(time.Second))
+		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, follower.NewContact().At(asked.Add(time.Second)))
 		Expect(follower.LastContact()).To(Equal(asked.Add(time.Second)))
-		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, asked)
+		follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1}, follower.NewContact().At(asked))
 		Expect(follower.LastContact()).To(Equal(asked.Add(time.Second)))
 		follower.ForgetContact()
 		Expect(follower.LastContact()).To(BeZero())
@@ -364,7 +364,7 @@
 		})
 		Eventually(store.read).WithTimeout(5 * time.Second).Should(Receive()) // until the first update comes
 		update := func() {
-			follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1, AsOf: time.Now().Add(-age)}, time.Time{})
+			follower.HandleUpdate(catalogue.Update{After: 1, Revision: 1, AsOf: time.Now().Add(-age)}, catalogue.Contact{})
 		}
 		update()
 		time.Sleep(time.Second) // for a read that had begun, and its pause
--- a/internal/catalogue/export_test.go
+++ b/internal/catalogue/export_test.go
@@ -10,3 +10,8 @@
 
 // FetchFromPeer fetches changes from another host, as FollowPeers does.
 func (f *Follower) FetchFromPeer(ctx context.Context) { f.fetchFromPeer(ctx) }
+
+// ReadOnce makes the first call to the store, as FollowStore does.
+func (f *Follower) ReadOnce(ctx context.Context) {
+	f.readOnce(ctx, readState{fullRead: true, first: true})
+}
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -38,6 +38,11 @@
 	// peerPause is the pause between two requests to other hosts while the store does not
 	// answer.
 	peerPause = 400 * time.Millisecond
+	// peerContactAge is the age of this host's news after which it asks other hosts although no call to the store
+	// has failed: one may hang until changesTimeout. It exceeds what hosts in touch reach.
+	peerContactAge = 2500 * time.Millisecond
+	// maxContactAge bounds the ages that other hosts state: older news proves nothing, and larger numbers overflow.
+	maxContactAge = time.Hour
 )
 
 // FetchDifference fetches the changes after a revision from some other host.
@@ -97,37 +102,45 @@
 	available chan bool // whether the store answered the last call
 	updated   chan struct{}
 	relayedAt atomic.Pointer[time.Time] // when the reading host asked for what it last sent
-	contact   contact
+	contact   lastContact
 }
 
-// contact is the time until which a host has all changes of the store. Its epoch changes when the clock of the
-// host has stood still, so that answers to earlier requests say nothing of the time since.
-type contact struct {
-	mu    sync.Mutex
-	at    time.Time
+// Contact is a time until which a host has all changes of the store. The zero Contact says nothing.
+type Contact struct {
+	at time.Time
+	// epoch changes when the clock of the host has stood still, so that times of before say nothing.
 	epoch int
 }
 
-func (c *contact) read() (at time.Time, epoch int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.at, c.epoch
+// At returns a contact with another time, which must have been found out after c.
+func (c Contact) At(at time.Time) Contact { return Contact{at: at, epoch: c.epoch} }
+
+// lastContact is the latest contact of a host.
+type lastContact struct {
+	mu   sync.Mutex
+	last Contact
+}
+
+// read returns the latest contact.
+func (l *lastContact) read() Contact {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
 }
 
-// record sets the time unless a later one is set or the epoch has changed.
-func (c *contact) record(at time.Time, epoch int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if epoch == c.epoch && at.After(c.at) {
-		c.at = at
+// record sets the contact unless a later one is set or the epoch has changed.
+func (l *lastContact) record(c Contact) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.epoch == l.last.epoch && c.at.After(l.last.at) {
+		l.last = c
 	}
 }
 
-func (c *contact) forget() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.at = time.Time{}
-	c.epoch++
+func (l *lastContact) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = Contact{epoch: l.last.epoch + 1}
 }
 
 // NewFollower returns a Follower.
@@ -141,10 +154,12 @@
 // LastContact returns the time until which this host has all changes of the store, read by itself
 // or by another host. That is when they were asked for, not when they arrived.
 func (f *Follower) LastContact() time.Time {
-	at, _ := f.contact.read()
-	return at
+	return f.contact.read().at
 }
 
+// NewContact returns a contact without a time, of which HandleUpdate takes a time that is found out after it.
+func (f *Follower) NewContact() Contact { return f.contact.read().At(time.Time{}) }
+
 // ForgetContact makes this host wait for the answer to a new request before it relies on having all changes.
 func (f *Follower) ForgetContact() { f.contact.forget() }
 
@@ -206,7 +221,7 @@
 // an earlier update applies the events without adopting the revision; it reads the store
 // itself once its news is older than maxNewsAge. The update has all changes until asOf, zero if that
 // is not known.
-func (f *Follower) HandleUpdate(u Update, asOf time.Time) UpdateResult {
+func (f *Follower) HandleUpdate(u Update, asOf Contact) UpdateResult {
 	if u.Partial {
 		if events := f.catalogue.Apply(u.Events, 0, FromOtherReader); len(events) > 0 {
 			f.broadcast(Update{Events: events, Partial: true})
@@ -227,9 +242,7 @@
 	} else {
 		f.catalogue.Apply(u.Events, u.Revision, FromReader)
 	}
-	if _, epoch := f.contact.read(); !asOf.IsZero() {
-		f.contact.record(asOf, epoch)
-	}
+	f.contact.record(asOf)
 	if u.AsOf.IsZero() {
 		u.AsOf = f.clock.Now()
 	}
@@ -257,15 +270,14 @@
 	if s.fullRead {
 		read = f.readAll
 	}
-	began := f.clock.Now()
-	_, epoch := f.contact.read()
+	began := f.NewContact().At(f.clock.Now())
 	err := read(ctx, s)
 	if ctx.Err() != nil {
 		return s
 	}
 	f.recordResult(err, s.failed)
 	if err == nil {
-		f.contact.record(began, epoch)
+		f.contact.record(began)
 	}
 	kind, _ := failure.KindOf[keyvalue.Kind](err)
 	restored := err != nil && kind == keyvalue.Restored
@@ -371,7 +383,7 @@
 	f.available <- available
 }
 
-// FollowPeers fetches changes from other hosts while the store does not answer, and sweeps
+// FollowPeers fetches changes from other hosts while the store does not answer in time, and sweeps
 // the catalogue, until ctx ends.
 func (f *Follower) FollowPeers(ctx context.Context) error {
 	storeAvailable := false
@@ -384,7 +396,7 @@
 		case <-tick:
 			tick = f.clock.After(f.peerPause())
 			f.catalogue.Sweep()
-			if !storeAvailable {
+			if !storeAvailable || f.clock.Now().Sub(f.LastContact()) > peerContactAge {
 				f.fetchFromPeer(ctx)
 			}
 		}
@@ -403,8 +415,7 @@
 // fetchFromPeer adopts the changes of another host, and relies on having all changes until the time until which
 // that host has. The age in the response is counted from the request, which was sent before the response was made.
 func (f *Follower) fetchFromPeer(ctx context.Context) {
-	asked := f.clock.Now()
-	_, epoch := f.contact.read()
+	asked := f.NewContact().At(f.clock.Now())
 	d, err := f.fetch(ctx, f.catalogue.Snapshot().Revision)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
@@ -413,7 +424,7 @@
 		return
 	}
 	f.catalogue.Merge(d)
-	if d.ContactAgeMs != nil && *d.ContactAgeMs >= 0 {
-		f.contact.record(asked.Add(-time.Duration(*d.ContactAgeMs)*time.Millisecond), epoch)
+	if d.ContactAgeMs != nil && *d.ContactAgeMs >= 0 && *d.ContactAgeMs <= maxContactAge.Milliseconds() {
+		f.contact.record(asked.At(asked.at.Add(-time.Duration(*d.ContactAgeMs) * time.Millisecond)))
 	}
 }
--- a/internal/catalogue/revisions_test.go
+++ b/internal/catalogue/revisions_test.go
@@ -207,7 +207,7 @@
 		reader.own.MarkDraining("a@100")
 		g.store.put("target/a", "100 2 draining")
 		Expect(reader.follower.ReadChanges(ctx)).To(Succeed())
-		other.follower.HandleUpdate(g.sent[0].update, time.Time{})
+		other.follower.HandleUpdate(g.sent[0].update, catalogue.Contact{})
 		Expect(other.own.Snapshot().Revision).To(Equal(g.store.revision()))
 		Expect(other.own.Snapshot().Targets["a"].State).To(Equal(catalogue.Draining))
 	})
@@ -302,7 +302,7 @@
 		s.group.sent = slices.Delete(s.group.sent, i, i+1)
 	}
 	s.step("host %d gets %s", d.to, describe(d.update))
-	s.group.hosts[d.to].follower.HandleUpdate(d.update, time.Time{})
+	s.group.hosts[d.to].follower.HandleUpdate(d.update, catalogue.Contact{})
 }
 
 // join joins an update with the next one from its sender to its recipient, as a sender does whose recipient hangs.
@@ -334,7 +334,7 @@
 	events := slices.DeleteFunc(slices.Clone(update.Events), func(e keyvalue.Event) bool { return strings.HasPrefix(e.Key, "target/") })
 	h, partial := s.host(), catalogue.Update{Events: events, Partial: true}
 	s.step("host %d gets %s", h.index, describe(partial))
-	h.follower.HandleUpdate(partial, time.Time{})
+	h.follower.HandleUpdate(partial, catalogue.Contact{})
 }
 
 func (s *series) readAll() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -109,10 +109,7 @@
 			return r
 		}
 		c.awaitCatchUp()
-		if r, refused := c.followHomes(); refused {
-			return r
-		}
-		if r, refused := c.checkKey(); refused {
+		if r, refused := c.followConfiguration(); refused {
 			return r
 		}
 		c.work.NoLimited = denials >= maxDenials
@@ -144,6 +141,15 @@
 	}
 }
 
+// followConfiguration lets the call go by the configuration in force as far as that concerns where and for whom it
+// runs. It returns the reply to a call that cannot go on.
+func (c *activeCall) followConfiguration() (reply, bool) {
+	if r, refused := c.followHomes(); refused {
+		return r, true
+	}
+	return c.checkKey()
+}
+
 // exhausted returns the reply to a call that has no time or no attempts left.
 func (c *activeCall) exhausted() (reply, bool) {
 	switch {
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -234,6 +234,9 @@
 	if problem := a.call.keyProblem(); problem != "" {
 		return errors.New(problem)
 	}
+	if a.call.homesChanged() {
+		return errors.New("the homes of the call have changed")
+	}
 	now := g.clock.Now()
 	g.mu.Lock()
 	restricted := (!a.admittedCold && g.balancer.Restricted(now, a.choice.Target.ID)) || g.balancer.CatchUpTime(now) > 0
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -318,7 +318,7 @@
 	if g.refuseOlderSender(ctx, senderVersion, c.version) {
 		return
 	}
-	if r, refused := c.requireWorkspace(); refused {
+	if r, refused := c.checkKey(); refused {
 		g.refuseForwardedCall(ctx, r.reason)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,6 +162,8 @@
 	versionsQueriedAt time.Time
 	// suspendedFor is how long the machine was suspended in all, by the difference of two clocks.
 	suspendedFor time.Duration
+	// resumedAt is when the last suspension was noticed.
+	resumedAt time.Time
 	// regionLastSeen is when the last message of each other region arrived.
 	regionLastSeen map[string]time.Time
 	invalidHeaders map[string]string // last logged one, by target and name
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -119,6 +119,6 @@
 		return
 	}
 	if len(u.Events) > 0 {
-		g.follower.HandleUpdate(u, time.Time{})
+		g.follower.HandleUpdate(u, catalogue.Contact{})
 	}
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -42,7 +42,7 @@
 		return
 	}
 	c.identify("")
-	if r, refused := c.requireWorkspace(); refused {
+	if r, refused := c.checkKey(); refused {
 		g.writeHostReply(ctx, r)
 		return
 	}
--- a/internal/gateway/newer.go
+++ b/internal/gateway/newer.go
@@ -67,7 +67,7 @@
 		if err := g.callPeer(ctx, from.PeerAddress, pathPeerConfiguration, nil, &u); err != nil {
 			return nil, err
 		}
-		g.follower.HandleUpdate(u, time.Time{})
+		g.follower.HandleUpdate(u, catalogue.Contact{})
 		g.log.Info("Another host had a newer configuration.", "From", from.Host, "Version", version, "InForce", g.configurationVersion())
 		return nil, nil
 	})
@@ -140,11 +140,7 @@
 		return false
 	}
 	streamVersion := c.work.Version
-	if c.workspace != nil {
-		if c.workspace = c.gateway.workspaceIn(table, c.credential); c.workspace == nil {
-			return false
-		}
-	}
+	c.workspace = c.gateway.workspaceIn(table, c.credential) // checkKey refuses calls that need one and have none
 	c.setRoute(table, r)
 	if streamVersion != continuation.Unknown {
 		return c.setVersion(streamVersion)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,10 +39,11 @@
 		h.Method(), h.RequestURI(), h.Peek(headerRemaining), h.Peek(headerAge), h.Peek(headerSpilled), h.Peek(headerLastEvent),
 		h.Peek(core.HeaderPassed), h.Peek(core.HeaderVersion), request.Body(),
 	}
-	for _, name := range []string{headerVersion, headerCredential} { // hosts of builds without them sign the others only
-		if value := h.Peek(name); len(value) > 0 {
-			parts = append(parts, value)
-		}
+	if version := h.Peek(headerVersion); len(version) > 0 { // hosts of builds without versions sign the others only
+		parts = append(parts, version)
+	}
+	if credential := h.Peek(headerCredential); len(credential) > 0 { // likewise; its name tells it from a version
+		parts = append(parts, []byte(headerCredential), credential)
 	}
 	return parts
 }
--- a/internal/gateway/standstill.go
+++ b/internal/gateway/standstill.go
@@ -19,6 +19,7 @@
 		return
 	}
 	g.suspendedFor += suspended
+	g.resumedAt = now
 	for host, m := range g.lastMessages {
 		m.at = m.at.Add(-suspended)
 		g.lastMessages[host] = m
--- a/internal/gateway/storecontact.go
+++ b/internal/gateway/storecontact.go
@@ -38,12 +38,20 @@
 	return p.gateway.storeContact.covers(since, p.gateway.clock.Now())
 }
 
-// contactAgeMs returns the age of this host's news for messages to other hosts, nil if it has none.
+// contactAgeMs returns the age of this host's news for messages to other hosts, nil if it has none. The caller must
+// not hold g.mu.
 func (g *Gateway) contactAgeMs() *int64 {
+	g.noticeSuspension() // other hosts add to the age that they are told, so it must not leave out a suspension
 	age, known := g.newsAge(g.clock.Now())
 	if !known {
 		return nil
 	}
-	ms := age.Milliseconds()
+	ms := ceilMs(age)
 	return &ms
 }
+
+// ceilMs returns a duration in milliseconds, rounded up, so that ages do not become smaller on a chain of hosts.
+func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
+// maxStatedAgeMs bounds the ages that other hosts state: older news proves nothing, and larger numbers overflow.
+const maxStatedAgeMs = 3600 * 1000
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -149,7 +149,7 @@
 	if u.AsOf.IsZero() {
 		return 0
 	}
-	return g.clock.Now().Sub(u.AsOf).Milliseconds()
+	return ceilMs(g.clock.Now().Sub(u.AsOf))
 }
 
 // operatorEvents returns the events that are no reports of targets.
@@ -175,10 +175,12 @@
 }
 
 func (g *Gateway) newUpdateMessage(to string, u catalogue.Update) updateMessage {
+	g.noticeSuspension()
 	m := updateMessage{Update: u, AgeMs: g.ageMs(u)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if last, ok := g.lastMessages[to]; ok && !u.AsOf.IsZero() {
+	// The age of an update from before a suspension is not known, so it proves nothing.
+	if last, ok := g.lastMessages[to]; ok && !u.AsOf.IsZero() && u.AsOf.After(g.resumedAt) {
 		m.Heard, m.HeardIncarnation = last.report, last.incarnation
 	}
 	return m
@@ -186,7 +188,7 @@
 
 // asOf returns the time until which an update surely has all changes, zero if that is not known.
 func (g *Gateway) asOf(m updateMessage) time.Time {
-	if m.Heard == 0 || m.HeardIncarnation != g.started.UnixMilli() || m.AgeMs < 0 {
+	if m.Heard == 0 || m.HeardIncarnation != g.started.UnixMilli() || m.AgeMs < 0 || m.AgeMs > maxStatedAgeMs {
 		return time.Time{}
 	}
 	g.mu.Lock()
@@ -258,7 +260,8 @@
 	if m.AgeMs > 0 {
 		m.AsOf = g.clock.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	}
-	result := g.follower.HandleUpdate(m.Update, g.asOf(m))
+	contact := g.follower.NewContact() // before asOf, whose time a suspension makes too late
+	result := g.follower.HandleUpdate(m.Update, contact.At(g.asOf(m)))
 	g.metrics.add(fmt.Sprintf("updates_total{result=%q}", result), 1)
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
--- a/internal/gateway/workspace.go
+++ b/internal/gateway/workspace.go
@@ -26,6 +26,7 @@
 	keyAmbiguous = "the call carries several keys"
 	keyUnknown   = "the key is not known"
 	keyUnproven  = "the host cannot prove that the key still holds"
+	keyMoved     = "the workspace of the key has changed"
 )
 
 // keyIndex has the workspaces of a configuration by the digests of their keys.
@@ -45,7 +46,9 @@
 		list := table.Workspaces()
 		for i := range list {
 			for _, key := range list[i].Keys {
-				index.workspaces[g.keyDigest(key)] = &list[i]
+				for _, digest := range g.signer.Digests(keyDomain, []byte(key)) { // hosts may sign with another fleet key
+					index.workspaces[digest] = &list[i]
+				}
 			}
 		}
 		g.keyIndex.Store(index)
@@ -53,48 +56,27 @@
 	return index.workspaces[digest]
 }
 
-// keyDigest returns the digest by which hosts name a key to one another.
-func (g *Gateway) keyDigest(key string) string {
-	return g.signer.Digest([]byte("workspace key"), []byte(key))
-}
+// keyDomain tells digests of keys from others.
+var keyDomain = []byte("workspace key")
 
 // identify finds the workspace of the call by its key, or by the digest that another host states. The call keeps
 // the digest only.
 func (c *activeCall) identify(stated string) {
-	table := c.gateway.catalogue.Snapshot().Table
-	if !table.RequiresKeys() {
-		c.meta.Key = ""
-		return
-	}
 	c.credential = stated
 	if stated == "" && c.meta.Key != "" {
-		c.credential = c.gateway.keyDigest(c.meta.Key)
+		c.credential = c.gateway.signer.Digest(keyDomain, []byte(c.meta.Key))
 	}
 	c.meta.Key = ""
+	table := c.gateway.catalogue.Snapshot().Table
 	if c.workspace = c.gateway.workspaceIn(table, c.credential); c.workspace == nil {
 		return
 	}
 	if r := table.Find(c.meta.Host, pathOf(c.meta.Target)); r != nil {
 		c.setRoute(table, r)
+		return
 	}
-}
-
-// requireWorkspace returns the reply to a call that needs a workspace and has none.
-func (c *activeCall) requireWorkspace() (reply, bool) {
-	g := c.gateway
-	if c.workspace != nil || c.route.Public || !g.catalogue.Snapshot().Table.RequiresKeys() {
-		return reply{}, false
-	}
-	switch {
-	case c.meta.AmbiguousKey:
-		return c.refuseKey(keyAmbiguous), true
-	case c.credential == "":
-		return c.refuseKey(keyMissing), true
-	case !g.hasRecentNews() && !g.provesKeys(): // the key may be new
-		return c.refuseKey(keyUnproven), true
-	default:
-		return c.refuseKey(keyUnknown), true
-	}
+	c.route = c.route.For(c.workspace) // the route was removed since the call came
+	c.work.Priority = c.route.Priority
 }
 
 // refuseKey returns the reply to a call that is refused for its key. A caller may try another host only where
@@ -104,15 +86,21 @@
 	g.metrics.add(fmt.Sprintf("calls_refused_for_key_total{reason=%q}", reason), 1)
 	g.log.Info("A call is refused for its key.", "ID", c.meta.ID, "Reason", reason, "Fingerprint", c.credential[:min(len(c.credential), fingerprintDigits)],
 		"Version", c.version, "NewsAgeMs", g.newsAgeMs(g.clock.Now()), "Received", c.fromPeer)
-	if reason == keyUnproven || c.maybeRun {
+	if reason == keyUnproven || reason == keyMoved || c.maybeRun {
 		return c.hostReply(reason, g.jitter(shortRetryAfter))
 	}
 	return reply{status: fasthttp.StatusUnauthorized, outcome: core.NotRun, reason: reason}
 }
 
-// checkKey returns the reply to a call whose key holds no longer, or may not hold.
+// checkKey returns the reply to a call that lacks a key which holds, and lets the call go by the workspace that
+// holds its key now.
 func (c *activeCall) checkKey() (reply, bool) {
-	if problem := c.keyProblem(); problem != "" {
+	problem := c.keyProblem()
+	if problem == keyMoved && c.reroute() {
+		c.addStep("goes on by version %d, for workspace %q", c.version, c.workspaceName())
+		problem = c.keyProblem()
+	}
+	if problem != "" {
 		return c.refuseKey(problem), true
 	}
 	return reply{}, false
@@ -122,17 +110,40 @@
 // key is looked up in the configuration in force, as the call may have waited since it was identified.
 func (c *activeCall) keyProblem() string {
 	g := c.gateway
-	if c.workspace == nil {
+	table := g.catalogue.Snapshot().Table
+	if !table.RequiresKeys() && c.workspace == nil {
 		return ""
 	}
 	g.noticeSuspension()
-	if !g.provesKeys() {
+	holder := g.workspaceIn(table, c.credential)
+	switch {
+	case holder != nil && c.workspace != nil && holder.Name == c.workspace.Name:
+		if !g.provesKeys() {
+			return keyUnproven
+		}
+		return ""
+	case holder != nil || c.workspace != nil:
+		return keyMoved
+	case !c.needsKey(table):
+		return ""
+	case c.meta.AmbiguousKey:
+		return keyAmbiguous
+	case c.credential == "":
+		return keyMissing
+	case !g.hasRecentNews(): // the key may be new
 		return keyUnproven
-	}
-	if g.workspaceIn(g.catalogue.Snapshot().Table, c.credential) == nil {
+	default:
 		return keyUnknown
 	}
-	return ""
+}
+
+// needsKey reports whether a configuration serves the call for a workspace only.
+func (c *activeCall) needsKey(table *route.Table) bool {
+	r := table.Find(c.meta.Host, pathOf(c.meta.Target))
+	if r == nil {
+		r = c.route
+	}
+	return table.RequiresKeys() && !r.Public
 }
 
 // provesKeys reports whether a key that this host knows cannot have been withdrawn for longer than the operator
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -79,6 +79,16 @@
 	return hex.EncodeToString(mac(s.keys[0], parts))
 }
 
+// Digests returns the digests of the parts with each key, that of the first key first. Hosts whose lists begin with
+// different keys, as during a rotation, have some of them in common.
+func (s *Signer) Digests(parts ...[]byte) []string {
+	var out []string
+	for _, key := range s.keys {
+		out = append(out, hex.EncodeToString(mac(key, parts)))
+	}
+	return out
+}
+
 // mac returns the HMAC of the parts, each of which is preceded by its length as 8 bytes in
 // little-endian order.
 func mac(key *sync.Pool, parts [][]byte) []byte {
