--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -157,6 +157,7 @@
 			}
 			Expect(paths).To(Equal(c.Paths))
 			Expect(strings.Count(problems.Error(), "\n")).To(Equal(len(paths) - 1))
+			Expect(problems.Error()).NotTo(ContainSubstring("s3cret"))
 		})
 	}
 })
@@ -187,6 +188,9 @@
 				}
 				d.Routes = append(d.Routes, r)
 			}
+			for range rapid.IntRange(0, 3).Draw(t, "workspaces") {
+				d.Workspaces = append(d.Workspaces, drawWorkspace(t, number))
+			}
 			usable, problems := route.Usable(d)
 			if err := route.Check(usable); err != nil {
 				t.Fatal(err)
@@ -197,3 +201,13 @@
 		})
 	})
 })
+
+// drawWorkspace draws a workspace, which may be wrong.
+func drawWorkspace(t *rapid.T, number *rapid.Generator[int]) route.Workspace {
+	text := rapid.SampledFrom([]string{"", "a", "b", "c"})
+	priority := number.Draw(t, "priority")
+	return route.Workspace{
+		Name: text.Draw(t, "workspace"), Keys: rapid.SliceOfN(text, 0, 3).Draw(t, "keys"), Priority: &priority,
+		Quota: route.Quota{PerSecond: float64(number.Draw(t, "quota")), Burst: float64(number.Draw(t, "burst")), PlainTokens: float64(number.Draw(t, "plain"))},
+	}
+}
