internal/memory, internal/gateway: keep bodies, calls and connections within the memory of the host

Cause: the server allocated the announced length of each body before a byte of it had come, and held what all clients had sent. Nothing bounded the sum, so a crowd of 60 clients took a host to 5 times the memory of the smallest machine.

Change: a new setting MemoryMB, from which one budget (0.42 of it) is derived. Connections, calls, bodies of requests, responses that are buffered and control responses draw from it. Bodies are streamed from the server and read into a buffer that grows as bytes come. When the budget is short, the upload without progress for the longest time ends, then the one that has been unfinished for 10 s, then the newest: 503 with NotRun and Retry-After. A body that is announced over the limit gets 413 at once. A full server closes the connection whose client has sent or read nothing for the longest time, 2 s at least, if none is idle. The servers for the directory, readiness and metrics take bodies of 16 KiB. The limit of the garbage collector follows from MemoryMB too.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -60,9 +60,23 @@
 // processor time.
 const gcPercent = 40
 
-// memoryShare is the part of the machine's memory beyond which the garbage collector
-// works as hard as it must.
-const memoryShare = 0.7
+const (
+	// memoryShare is the part of the machine's memory beyond which the garbage collector
+	// works as hard as it must.
+	memoryShare = 0.7
+	// settingShare is that part of MemoryMB. It is lower, as the program's text, which the collector does not
+	// count, takes up to 15 MB of the smallest machine's 136.
+	settingShare = 0.6
+	bytesPerMB   = 1_000_000
+)
+
+// memoryLimit returns the bytes beyond which the garbage collector works as hard as it must, 0 for none.
+func memoryLimit(s gateway.Settings) int64 {
+	if s.MemoryMB > 0 {
+		return int64(settingShare * s.MemoryMB * bytesPerMB)
+	}
+	return int64(memoryShare * float64(machineMemory()))
+}
 
 // machineMemory returns the memory of the machine in bytes, 0 if the system does not tell.
 func machineMemory() uint64 {
@@ -75,8 +89,8 @@
 
 func runGateway(ctx context.Context, o *outputs, path string, s gateway.Settings) error {
 	debug.SetGCPercent(gcPercent)
-	if memory := machineMemory(); memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	if limit := memoryLimit(s); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	sink := logsink.New(o.out)
 	logCtx, stopLogging := context.WithCancel(context.Background())
--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -16,10 +16,37 @@
 type MemoryBudget struct {
 	limit    int64
 	reserved atomic.Int64
+	within   Reserver
 }
 
+// Reserver is a larger budget of which a MemoryBudget is a part.
+type Reserver interface {
+	// Reserve reserves n bytes and reports whether they are within the budget.
+	Reserve(n int) bool
+	// Release returns n bytes.
+	Release(n int)
+}
+
+type unlimited struct{}
+
+func (unlimited) Reserve(int) bool { return true }
+
+func (unlimited) Release(int) {}
+
+// MemoryOption changes a MemoryBudget under construction.
+type MemoryOption func(*MemoryBudget)
+
+// WithinBudget makes the MemoryBudget reserve in a larger budget too.
+func WithinBudget(r Reserver) MemoryOption { return func(m *MemoryBudget) { m.within = r } }
+
 // NewMemoryBudget returns a MemoryBudget with a limit in bytes.
-func NewMemoryBudget(limit int) *MemoryBudget { return &MemoryBudget{limit: int64(limit)} }
+func NewMemoryBudget(limit int, options ...MemoryOption) *MemoryBudget {
+	m := &MemoryBudget{limit: int64(limit), within: unlimited{}}
+	for _, option := range options {
+		option(m)
+	}
+	return m
+}
 
 // Reserved returns the number of reserved bytes. It may exceed the limit briefly while
 // a reservation is being rejected.
@@ -27,13 +54,19 @@
 
 // reserve reserves n bytes and reports whether they are within the limit.
 func (m *MemoryBudget) reserve(n int) bool {
-	if m.reserved.Add(int64(n)) <= m.limit {
+	if m.reserved.Add(int64(n)) <= m.limit && m.within.Reserve(n) {
 		return true
 	}
 	m.reserved.Add(-int64(n))
 	return false
 }
 
+// release returns n reserved bytes.
+func (m *MemoryBudget) release(n int) {
+	m.reserved.Add(-int64(n))
+	m.within.Release(n)
+}
+
 // Body is a complete body that is buffered in memory.
 type Body struct {
 	Bytes    []byte
@@ -71,7 +104,7 @@
 // Release returns the body's reservation to the budget. It may be called more than once.
 func (b *Body) Release() {
 	if b.reserved > 0 {
-		b.budget.reserved.Add(-int64(b.reserved))
+		b.budget.release(b.reserved)
 		b.reserved = 0
 	}
 }
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -45,11 +45,11 @@
 )
 
 // newLimiter returns a limiter for a share of the process's descriptors.
-func (g *Gateway) newLimiter(name string, share float64) *link.Limiter {
-	return link.NewLimiter(g.clock, link.WithMaxConns(int(share*float64(link.Descriptors(g.settings.MaxDescriptors)))), link.WithIdleTimeout(idleTimeout),
+func (g *Gateway) newLimiter(name string, share float64, options ...link.LimiterOption) *link.Limiter {
+	return link.NewLimiter(g.clock, append(options, link.WithMaxConns(int(share*float64(link.Descriptors(g.settings.MaxDescriptors)))), link.WithIdleTimeout(idleTimeout),
 		link.WithOnEvent(func(e link.Event) {
 			g.metrics.add(`connections_closed_total{server="`+name+`",reason="`+e.String()+`"}`, 1)
-		}))
+		}))...)
 }
 
 // reclaimingNetwork opens connections, and makes room for them when the process has no free descriptor.
@@ -128,11 +128,6 @@
 	return route.Limits{}
 }
 
-// requestConfig returns the limits on the body of a caller's request.
-func (g *Gateway) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	return fasthttp.RequestConfig{ReadTimeout: headerTimeout, MaxRequestBodySize: g.limits().MaxBodyBytes}
-}
-
 // rejectRequest responds to a request that could not be read.
 func (g *Gateway) rejectRequest(server string, ctx *fasthttp.RequestCtx, err error) {
 	var tooLong *fasthttp.ErrSmallBuffer
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -268,6 +268,10 @@
 	if number := string(ctx.Request.Header.Peek(headerNumber)); number != "" {
 		defer func() { ctx.Response.Header.Set(headerNumber, number) }()
 	}
+	if !g.readBody(peerServer, ctx) {
+		return
+	}
+	defer releaseBody(ctx)
 	if !g.checkGrammar(peerServer, ctx) {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 //	send.go         attempts at targets
 //	copy.go         requests as they are sent on
 //	connections.go  bounds on connections, and limits on requests of callers
+//	memory.go       bodies of requests within the memory of the host
 //	forward.go      attempts in other regions, and calls forwarded from there
 //	crashes.go      examination of targets that break off calls
 //	parts.go        parts of prompts that crash targets
@@ -60,6 +61,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/logsink"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/quarantine"
 	"github.com/sequoiarack/sequoiarack/internal/ring"
 	"github.com/sequoiarack/sequoiarack/internal/seal"
@@ -113,6 +115,8 @@
 
 	callers            *link.Limiter
 	exhaustionLoggedAt atomic.Int64           // Unix nanoseconds
+	memory             *memory.Budget         // of connections, calls and bodies
+	memoryLoggedAt     atomic.Int64           // Unix nanoseconds
 	targetPool         *exchange.Pool         // to targets
 	peerPool           *exchange.Pool         // to hosts, for calls
 	bodyMemory         *exchange.MemoryBudget // long bodies and events of targets
@@ -250,13 +254,14 @@
 	g.suspendedFor = g.sinceBoot()
 	g.started = g.clock.Now()
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
-	g.callers = g.newLimiter(callerServer, callerShare)
+	g.memory = newMemory(s)
+	g.callers = g.newLimiter(callerServer, callerShare, link.WithMemory(memory.Share{Budget: g.memory, Kind: memory.Connections}, connectionBytes))
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
 	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.storePool = exchange.NewPool(g.network, exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
-	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes)
-	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes)
+	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Responses}))
+	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Control}))
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
 		catalogue.WithClock(g.clock), catalogue.WithLogger(g.log.WithName("catalogue")), catalogue.WithOnChange(g.configure))
 	g.follower = catalogue.NewFollower(g.catalogue, adapters.NewReader(g.storePool, s.StoreAddress), g.fetchCatalogue, peerGroup{g}, g.clock, g.log.WithName("catalogue"))
@@ -291,7 +296,6 @@
 		server := g.newServer(h.name, h.handler, h.limiter)
 		g.servers = append(g.servers, namedServer{name: h.name, server: server, listener: h.limiter.Listen(g.retryAccept(h.name, listener)), limiter: h.limiter})
 	}
-	g.servers[0].server.HeaderReceived = g.requestConfig
 	var err error
 	if g.gossipConn, err = g.network.ListenPacket(g.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
@@ -311,13 +315,17 @@
 }
 
 func (g *Gateway) newServer(name string, handler fasthttp.RequestHandler, limiter *link.Limiter) *fasthttp.Server {
-	return &fasthttp.Server{
+	server := &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		ConnState: limiter.OnState, ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) { g.rejectRequest(name, ctx, err) },
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: headerTimeout, IdleTimeout: serverIdleTimeout,
-		MaxRequestBodySize: maxCallBytes, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
+		MaxRequestBodySize: maxControlBodyBytes, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
 		DisablePreParseMultipartForm: true, // a form is relayed as it came
 	}
+	if name == callerServer || name == peerServer {
+		server.StreamRequestBody, server.HeaderReceived = true, g.headerReceived(name)
+	}
+	return server
 }
 
 // Run serves until ctx is done, without waiting for running calls, or until Drain has
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -28,6 +28,10 @@
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx) {
+	if !g.readBody(callerServer, ctx) {
+		return
+	}
+	defer releaseBody(ctx)
 	if g.headerExceeds(&ctx.Request.Header) {
 		ctx.Error("the header is too long", fasthttp.StatusRequestHeaderFieldsTooLarge)
 		ctx.SetConnectionClose()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -58,6 +58,8 @@
 	// MaxDescriptors bounds the file descriptors of the process, beside the limit of the operating
 	// system. 0 means no other bound.
 	MaxDescriptors int `json:"MaxDescriptors,omitempty"`
+	// MemoryMB is the memory of the host's machine, in millions of bytes. 0 means that it is not known.
+	MemoryMB float64 `json:"MemoryMB,omitempty"`
 	// LogLevel is 0 for the usual messages and 1 for more.
 	LogLevel int `json:"LogLevel,omitempty"`
 }
@@ -117,6 +119,7 @@
 	require(s.DirectoryTTLSeconds > 0, "DirectoryTTLSeconds", "expected positive seconds, got %g", s.DirectoryTTLSeconds)
 	require(s.RevocationMs == 0 || s.RevocationMs >= minRevocationMs, "RevocationMs", "expected 0 or at least %d, got %g", minRevocationMs, s.RevocationMs)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
+	require(s.MemoryMB == 0 || s.MemoryMB >= minMemoryMB, "MemoryMB", "expected 0 or at least %d, got %g", minMemoryMB, s.MemoryMB)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	return append(problems, s.Policy.Check("Policy")...)
 }
--- a/internal/link/limiter.go
+++ b/internal/link/limiter.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,10 +24,24 @@
 	maxConns      int
 	idleTimeout   time.Duration
 	headerTimeout time.Duration
-	open          int
+	conns         map[*limitedConn]struct{}
 	idle          *list.List // of *limitedConn, longest idle first
+	memory        Memory
+	connBytes     int
 }
 
+// Memory is the budget from which connections draw.
+type Memory interface {
+	// Reserve reserves n bytes and reports whether they are within the budget.
+	Reserve(n int) bool
+	// Release returns n bytes.
+	Release(n int)
+}
+
+// minBlockedTime is the time for which the peer of a connection must not have sent or read anything before the
+// connection makes room for others while a request is under way.
+const minBlockedTime = 2 * time.Second
+
 // Event is what a Limiter did to a connection.
 type Event int
 
@@ -35,10 +50,16 @@
 	IdleTooLong Event = iota // closed after the idle timeout
 	MadeRoom                 // closed for a new connection or a lack of descriptors
 	Rejected                 // closed when it was accepted
+	Blocked                  // closed for a new connection while its peer sent or read nothing of a request or response
 )
 
+// noEvent is none of the events.
+const noEvent Event = -1
+
 // String returns the event's name.
-func (e Event) String() string { return [...]string{"idle-too-long", "made-room", "rejected"}[e] }
+func (e Event) String() string {
+	return [...]string{"idle-too-long", "made-room", "rejected", "blocked"}[e]
+}
 
 // LimiterOption changes a Limiter under construction.
 type LimiterOption func(*Limiter)
@@ -49,12 +70,17 @@
 // WithIdleTimeout bounds the time between two requests on a connection, and that to the first one.
 func WithIdleTimeout(d time.Duration) LimiterOption { return func(l *Limiter) { l.idleTimeout = d } }
 
+// WithMemory makes each connection draw n bytes from a budget.
+func WithMemory(m Memory, n int) LimiterOption {
+	return func(l *Limiter) { l.memory, l.connBytes = m, n }
+}
+
 // WithOnEvent sets a function that is called for each connection that the Limiter closes.
 func WithOnEvent(f func(Event)) LimiterOption { return func(l *Limiter) { l.onEvent = f } }
 
 // NewLimiter returns a Limiter without connections.
 func NewLimiter(c clock.Clock, options ...LimiterOption) *Limiter {
-	l := &Limiter{clock: c, onEvent: func(Event) {}, idle: list.New()}
+	l := &Limiter{clock: c, onEvent: func(Event) {}, conns: map[*limitedConn]struct{}{}, idle: list.New()}
 	for _, option := range options {
 		option(l)
 	}
@@ -78,7 +104,7 @@
 func (l *Limiter) Open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open
+	return len(l.conns)
 }
 
 // Idle returns the number of connections on which no request is under way.
@@ -109,16 +135,37 @@
 // MakeRoom closes the connection that has been idle for the longest time. It reports whether one was idle.
 func (l *Limiter) MakeRoom() bool {
 	l.mu.Lock()
-	e := l.idle.Front()
-	if e != nil {
-		c, _ := e.Value.(*limitedConn)
+	c := l.longestIdle()
+	if c != nil {
 		c.evict()
 	}
 	l.mu.Unlock()
-	if e != nil {
+	if c != nil {
 		l.onEvent(MadeRoom)
 	}
-	return e != nil
+	return c != nil
+}
+
+// longestIdle returns the connection that has been idle for the longest time, nil if none is.
+func (l *Limiter) longestIdle() *limitedConn {
+	if e := l.idle.Front(); e != nil {
+		c, _ := e.Value.(*limitedConn)
+		return c
+	}
+	return nil
+}
+
+// longestBlocked returns the connection under way whose peer has sent or read nothing for the longest time, nil if
+// that is less than minBlockedTime.
+func (l *Limiter) longestBlocked() *limitedConn {
+	var longest *limitedConn
+	earliest := l.clock.Now().Add(-minBlockedTime).UnixNano()
+	for c := range l.conns {
+		if since := c.blockedSince.Load(); c.place == nil && !c.evicted && since != 0 && since <= earliest {
+			longest, earliest = c, since
+		}
+	}
+	return longest
 }
 
 // Listen returns a listener that keeps the bounds. The server must call OnState.
@@ -165,21 +212,38 @@
 
 // admit returns the connection as the server gets it, and false if there is no room for it.
 func (l *Limiter) admit(raw net.Conn) (net.Conn, bool) {
-	if l.isFull() && !l.MakeRoom() {
-		return nil, false
-	}
 	c := &limitedConn{Conn: raw, limiter: l}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open++
-	c.enterIdle()
-	return c, true
+	event, ok := l.makeRoomFor(c)
+	if ok {
+		l.conns[c] = struct{}{}
+		c.enterIdle()
+	}
+	l.mu.Unlock()
+	if ok && event != noEvent {
+		l.onEvent(event)
+	}
+	return c, ok
 }
 
-func (l *Limiter) isFull() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.maxConns > 0 && l.open >= l.maxConns
+// makeRoomFor reserves the memory of a connection, or closes another one and takes over its memory. It returns false
+// if there is no room.
+func (l *Limiter) makeRoomFor(c *limitedConn) (Event, bool) {
+	isFull := l.maxConns > 0 && len(l.conns) >= l.maxConns
+	if !isFull && (l.memory == nil || l.memory.Reserve(l.connBytes)) {
+		c.charged = l.memory != nil
+		return noEvent, true
+	}
+	other, event := l.longestIdle(), MadeRoom
+	if other == nil {
+		other, event = l.longestBlocked(), Blocked
+	}
+	if other == nil {
+		return Rejected, false
+	}
+	other.evict()
+	c.charged, other.charged = other.charged, false
+	return event, true
 }
 
 // limitedConn is a connection of a caller.
@@ -192,6 +256,9 @@
 	evicted   bool
 	readsHead bool // the next read deadline is that of the head of a request
 	closed    bool
+	charged   bool // the connection holds memory
+	// blockedSince is when a call of Read or Write began that has not returned, 0 if there is none.
+	blockedSince atomic.Int64 // Unix nanoseconds
 }
 
 // past is a deadline that has passed.
@@ -213,12 +280,41 @@
 	}
 }
 
-// evict makes the server close an idle connection, as its wait for a request times out. If the first
-// byte of a request has been read meanwhile, the server sets a new deadline and goes on.
+// evict makes the server close a connection, as its reads and writes time out. If the connection was idle and the
+// first byte of a request has been read meanwhile, the server sets a new deadline and goes on.
 func (c *limitedConn) evict() {
+	wasIdle := c.place != nil
 	c.leaveIdle()
 	c.evicted = true
 	_ = c.Conn.SetReadDeadline(past)
+	if !wasIdle {
+		_ = c.Conn.SetWriteDeadline(past)
+	}
+}
+
+// Read reads from the connection.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	c.blockedSince.Store(c.limiter.clock.Now().UnixNano())
+	defer c.blockedSince.Store(0)
+	return c.Conn.Read(b)
+}
+
+// Write writes to the connection.
+func (c *limitedConn) Write(b []byte) (int, error) {
+	c.blockedSince.Store(c.limiter.clock.Now().UnixNano())
+	defer c.blockedSince.Store(0)
+	return c.Conn.Write(b)
+}
+
+// SetWriteDeadline sets the deadline that the server wants, unless the connection is to be closed.
+func (c *limitedConn) SetWriteDeadline(t time.Time) error {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.evicted {
+		t = past
+	}
+	return c.Conn.SetWriteDeadline(t)
 }
 
 // SetReadDeadline sets the deadline that the server wants, as far as the limiter's timeouts allow.
@@ -243,9 +339,11 @@
 	l := c.limiter
 	l.mu.Lock()
 	c.leaveIdle()
-	if !c.closed {
-		c.closed = true
-		l.open--
+	delete(l.conns, c)
+	c.closed = true
+	if c.charged {
+		l.memory.Release(l.connBytes)
+		c.charged = false
 	}
 	l.mu.Unlock()
 	return c.Conn.Close()
--- a/internal/link/limiter_test.go
+++ b/internal/link/limiter_test.go
@@ -56,18 +56,44 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// laterClock is a clock that can be put forward.
+type laterClock struct {
+	clock.System
+	by atomic.Int64
+}
+
+func (l *laterClock) Now() time.Time { return time.Now().Add(time.Duration(l.by.Load())) }
+
+// pages is a budget of memory.
+type pages struct{ free atomic.Int64 }
+
+func (p *pages) Reserve(n int) bool {
+	if p.free.Add(-int64(n)) >= 0 {
+		return true
+	}
+	p.free.Add(int64(n))
+	return false
+}
+
+func (p *pages) Release(n int) { p.free.Add(int64(n)) }
+
 var _ = Describe("Limiter", func() {
 	var events *atomic.Int64
+	var later laterClock
+	BeforeEach(func() { later.by.Store(0) })
 	// serve starts a server whose path /slow takes as long as it may.
 	serve := func(slow <-chan struct{}, options ...link.LimiterOption) (*link.Limiter, string) {
 		count := &atomic.Int64{}
 		events = count
-		l := link.NewLimiter(clock.System{}, append(options, link.WithOnEvent(func(link.Event) { count.Add(1) }))...)
+		l := link.NewLimiter(&later, append(options, link.WithOnEvent(func(link.Event) { count.Add(1) }))...)
 		inner := listen()
 		server := &fasthttp.Server{
 			Handler: func(ctx *fasthttp.RequestCtx) {
-				if string(ctx.Path()) == "/slow" {
+				switch string(ctx.Path()) {
+				case "/slow":
 					<-slow
+				case "/long":
+					ctx.SetBody(make([]byte, 32<<20))
 				}
 			}, ConnState: l.OnState, ReduceMemoryUsage: true, IdleTimeout: time.Hour, ReadTimeout: time.Hour,
 		}
@@ -172,4 +198,60 @@
 		}
 		Expect(answered).To(BeNumerically(">", 0))
 	})
+
+	// Guards against clients that keep all others out by requests that they never end.
+	It("closes the connection whose client sends nothing for the longest time when none is idle, and none that waits for the server", func() {
+		slow := make(chan struct{})
+		l, address := serve(slow, link.WithMaxConns(3))
+		busy, stalled, second := dial(address), dial(address), dial(address)
+		_, err := fmt.Fprint(busy, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		expectActive := func(n int) { Eventually(func() int { return l.Open() - l.Idle() }).Should(Equal(n)) }
+		expectActive(1)
+		for i, c := range []*client{stalled, second} {
+			_, err := fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nx")
+			Expect(err).NotTo(HaveOccurred())
+			expectActive(2 + i)
+		}
+		Expect(dial(address).get()).To(Equal(0), "no client is silent for long")
+		later.by.Store(int64(3 * time.Second))
+		Expect(dial(address).get()).To(Equal(http.StatusOK))
+		Expect(stalled.isClosed()).To(BeTrue())
+		close(slow)
+		Expect(busy.status()).To(Equal(http.StatusOK))
+	})
+
+	It("closes the connection whose client does not read its response when none is idle", func() {
+		l, address := serve(nil, link.WithMaxConns(1))
+		unread := dial(address)
+		_, err := fmt.Fprint(unread, "GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return l.Open() - l.Idle() }).Should(Equal(1))
+		Eventually(func() int {
+			later.by.Add(int64(3 * time.Second))
+			return dial(address).get()
+		}).Should(Equal(http.StatusOK))
+	})
+
+	// Guards against connections that use up the memory of a small host, and against accounts that drift.
+	It("keeps connections within a budget of memory, and returns it", func() {
+		const connBytes, conns = 10, 4
+		budget := &pages{}
+		budget.free.Store(conns * connBytes)
+		l, address := serve(nil, link.WithMemory(budget, connBytes))
+		var list []*client
+		for range 3 * conns {
+			c := dial(address)
+			Expect(c.get()).To(Equal(http.StatusOK))
+			Eventually(l.Idle).Should(BeNumerically(">", 0))
+			list = append(list, c)
+		}
+		Expect(list[0].isClosed()).To(BeTrue())
+		Expect(list[len(list)-1].get()).To(Equal(http.StatusOK))
+		Expect(budget.free.Load()).To(BeZero())
+		for _, c := range list {
+			_ = c.Conn.(*net.TCPConn).CloseWrite()
+		}
+		Eventually(budget.free.Load).Should(Equal(int64(conns * connBytes)))
+	})
 })
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,151 @@
+package memory_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiarack/sequoiarack/internal/memory"
+)
+
+const total = 1000
+
+var _ = Describe("Budget", func() {
+	start := time.Unix(1_700_000_000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var budget *memory.Budget
+	var ended []string
+	BeforeEach(func() { budget, ended = memory.NewBudget(total), nil })
+	// begin starts an upload that holds n bytes and is in progress.
+	begin := func(name string, ms, n int) *memory.Upload {
+		u := budget.Begin(at(ms), at(ms), func() { ended = append(ended, name) })
+		Expect(u.Grow(at(ms), n).Apply()).To(BeTrue())
+		return u
+	}
+
+	It("keeps each kind within its share, and a reserve for calls and other hosts", func() {
+		Expect(budget.Reserve(memory.Connections, 501)).To(BeFalse())
+		Expect(budget.Reserve(memory.Connections, 500)).To(BeTrue())
+		Expect(budget.Reserve(memory.Responses, 250)).To(BeTrue())
+		Expect(budget.Begin(start, start, func() {}).Grow(start, 160).Apply()).To(BeFalse())
+		Expect(budget.ReserveCall(start, 250).Apply()).To(BeTrue())
+		Expect(budget.ReserveCall(start, 1).Apply()).To(BeFalse())
+		budget.Release(memory.Responses, 250)
+		Expect(budget.ReserveCall(start, 250).Apply()).To(BeTrue())
+	})
+
+	// The next ones guard against unfinished uploads that keep all others out, and against ordinary uploads that are
+	// ended for them.
+	It("ends the upload without progress for the longest time first", func() {
+		begin("old", 0, 200).Progress(at(1900))
+		begin("stalled", 100, 100)
+		begin("later", 200, 100).Progress(at(300))
+		begin("new", 1900, 200)
+		begin("next", 2000, 50)
+		Expect(ended).To(Equal([]string{"stalled"}))
+	})
+
+	It("ends the oldest one once it has been unfinished for long", func() {
+		begin("old", 0, 100).Progress(at(10_000))
+		begin("middle", 100, 300).Progress(at(10_000))
+		begin("new", 9900, 200)
+		begin("next", 10_050, 50)
+		Expect(ended).To(Equal([]string{"old"}))
+	})
+
+	It("refuses the newest one while all are in progress, and serves the others", func() {
+		old := begin("old", 0, 300)
+		u := begin("new", 10, 300)
+		Expect(u.Grow(at(20), 50).Apply()).To(BeFalse())
+		Expect(ended).To(BeEmpty(), "it is refused, and needs no interrupt")
+		Expect(old.Complete()).To(BeTrue())
+	})
+
+	It("ends no upload that is complete, and counts it until it is released", func() {
+		u := begin("old", 0, 600)
+		Expect(u.Complete()).To(BeTrue())
+		next := budget.Begin(at(20_000), at(20_000), func() {})
+		Expect(next.Grow(at(20_000), 50).Apply()).To(BeFalse())
+		u.Release()
+		u.Release()
+		Expect(next.Grow(at(20_000), 600).Apply()).To(BeTrue())
+		Expect(ended).To(BeEmpty())
+	})
+
+	It("ends uploads for calls", func() {
+		Expect(budget.Reserve(memory.Connections, 400)).To(BeTrue())
+		begin("old", 0, 100)
+		Expect(budget.ReserveCall(at(5000), 550).Apply()).To(BeTrue())
+		Expect(ended).To(Equal([]string{"old"}))
+	})
+
+	It("does not lend more than the overdraft before ended uploads have returned their memory", func() {
+		first := begin("first", 0, 100)
+		begin("second", 0, 100)
+		begin("third", 1000, 400)
+		next := budget.Begin(at(2000), at(2000), func() {})
+		Expect(next.Grow(at(1500), 100).Apply()).To(BeTrue())
+		Expect(next.Grow(at(1500), 100).Apply()).To(BeFalse())
+		Expect(first.Grow(at(1500), 1).Granted).To(BeFalse(), "it was told to end")
+		Expect(first.Ended()).To(Equal(memory.Stalled))
+		first.Release()
+		Expect(next.Grow(at(1500), 100).Apply()).To(BeTrue())
+		Expect(ended).To(Equal([]string{"first", "second"}))
+	})
+
+	// Guards against accounts that drift, so that a host refuses all calls after a while.
+	It("never exceeds its total and the overdraft, and is empty in the end", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			b, now := memory.NewBudget(total), start
+			var uploads []*memory.Upload
+			calls := 0
+			for range rapid.IntRange(1, 200).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+				n := rapid.IntRange(1, 300).Draw(t, "bytes")
+				pick := func(act func(i int)) {
+					if len(uploads) > 0 {
+						act(rapid.IntRange(0, len(uploads)-1).Draw(t, "upload"))
+					}
+				}
+				switch rapid.IntRange(0, 5).Draw(t, "step") {
+				case 0:
+					uploads = append(uploads, b.Begin(now, now, func() {}))
+				case 1:
+					pick(func(i int) { uploads[i].Grow(now, n).Apply() })
+				case 2:
+					pick(func(i int) { uploads[i].Complete() })
+				case 3:
+					pick(func(i int) {
+						uploads[i].Release()
+						uploads = append(uploads[:i], uploads[i+1:]...)
+					})
+				case 4:
+					if b.ReserveCall(now, n).Apply() {
+						calls += n
+					}
+				case 5:
+					b.Release(memory.Calls, calls)
+					calls = 0
+				}
+				use, sum := b.Use(), 0
+				for _, bytes := range use.Bytes {
+					sum += bytes
+				}
+				if sum > total || use.Ending > total/8 || use.Bytes[memory.Calls] != calls {
+					t.Fatalf("%+v", use)
+				}
+			}
+			for _, u := range uploads {
+				u.Release()
+			}
+			b.Release(memory.Calls, calls)
+			for kind, bytes := range b.Use().Bytes {
+				if bytes != 0 || b.Use().Ending != 0 || b.Use().Uploads != 0 {
+					t.Fatalf("%s: %+v", kind, b.Use())
+				}
+			}
+		})
+	})
+})
--- /dev/null
+++ b/internal/memory/upload.go
@@ -0,0 +1,174 @@
+package memory
+
+import (
+	"slices"
+	"time"
+)
+
+// Upload is the body of a request that is being read, and then held by its call.
+type Upload struct {
+	budget     *Budget
+	interrupt  func()
+	held       int
+	beganAt    time.Time
+	progressAt time.Time
+	reason     Reason
+}
+
+// Reason is why an upload had to make room for others.
+type Reason int
+
+// The reasons.
+const (
+	None    Reason = iota
+	Stalled        // it made no progress
+	Long           // it had been unfinished for long
+	Newest         // it began last
+)
+
+// String returns the reason as it appears in metrics.
+func (r Reason) String() string { return [...]string{"none", "stalled", "long", "newest"}[r] }
+
+// Decision is whether memory is granted, and which uploads must end for it.
+type Decision struct {
+	Granted bool
+	End     []*Upload
+}
+
+// Apply interrupts the uploads that must end, and returns whether memory is granted.
+func (d Decision) Apply() bool {
+	for _, u := range d.End {
+		u.interrupt()
+	}
+	return d.Granted
+}
+
+// Begin adds an upload that began at a time and holds nothing. Function interrupt must make its reader fail; the upload
+// holds its memory until Release.
+func (b *Budget) Begin(beganAt, now time.Time, interrupt func()) *Upload {
+	u := &Upload{budget: b, interrupt: interrupt, beganAt: beganAt, progressAt: now}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.uploads = append(b.uploads, u)
+	return u
+}
+
+// Progress records that at least ProgressBytes of the body have come since the last call.
+func (u *Upload) Progress(now time.Time) {
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	u.progressAt = now
+}
+
+// Grow asks for n more bytes for an upload.
+func (u *Upload) Grow(now time.Time, n int) Decision {
+	b := u.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u.reason != None {
+		return Decision{}
+	}
+	d := b.reserve(now, Bodies, n, u)
+	if d.Granted {
+		u.held += n
+	}
+	return d
+}
+
+// Shrink returns n bytes of an upload.
+func (u *Upload) Shrink(n int) {
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	u.give(n)
+}
+
+// give returns n bytes of an upload. The mutex must be held.
+func (u *Upload) give(n int) {
+	u.held -= n
+	if u.reason != None {
+		u.budget.ending -= n
+	} else {
+		u.budget.used[Bodies] -= n
+	}
+}
+
+// Complete records that the body is complete: the upload holds its memory until Release. It returns false if the
+// upload has been told to end.
+func (u *Upload) Complete() bool {
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	u.budget.forget(u)
+	return u.reason == None
+}
+
+// Release returns the memory of the upload. It may be called more than once.
+func (u *Upload) Release() {
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	u.budget.forget(u)
+	u.give(u.held)
+}
+
+// Ended returns why the upload has been told to end, None if it has not.
+func (u *Upload) Ended() Reason {
+	u.budget.mu.Lock()
+	defer u.budget.mu.Unlock()
+	return u.reason
+}
+
+// ReserveCall asks for n bytes for a call.
+func (b *Budget) ReserveCall(now time.Time, n int) Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reserve(now, Calls, n, nil)
+}
+
+// reserve reserves n bytes of a kind, for an upload if that is not nil, and ends others for them. It refuses them if
+// the next upload to end is that one, or if too much is still held by uploads that were told to end.
+func (b *Budget) reserve(now time.Time, kind Kind, n int, by *Upload) Decision {
+	var d Decision
+	for !b.fits(kind, n) {
+		u, reason := b.nextToEnd(now)
+		if u == nil || u == by || float64(b.ending+u.held) > overdraftShare*float64(b.total) {
+			return d
+		}
+		u.reason = reason
+		b.used[Bodies] -= u.held
+		b.ending += u.held
+		b.forget(u)
+		d.End = append(d.End, u)
+	}
+	b.used[kind] += n
+	d.Granted = true
+	return d
+}
+
+// nextToEnd returns the unfinished upload that ends first when memory is short: the one that has made no progress
+// for the longest time, then the one that has been unfinished for the longest time, then the newest.
+func (b *Budget) nextToEnd(now time.Time) (*Upload, Reason) {
+	var stalled, newest *Upload
+	for _, u := range b.uploads {
+		if u.held == 0 {
+			continue
+		}
+		newest = u
+		if now.Sub(u.progressAt) >= stallTime && (stalled == nil || u.progressAt.Before(stalled.progressAt)) {
+			stalled = u
+		}
+	}
+	if stalled != nil {
+		return stalled, Stalled
+	}
+	i := slices.IndexFunc(b.uploads, func(u *Upload) bool { return u.held > 0 })
+	if i >= 0 && now.Sub(b.uploads[i].beganAt) >= longTime {
+		return b.uploads[i], Long
+	}
+	return newest, Newest
+}
+
+// forget removes an upload from the unfinished ones.
+func (b *Budget) forget(u *Upload) {
+	if i := slices.Index(b.uploads, u); i >= 0 {
+		b.uploads = slices.Delete(b.uploads, i, i+1)
+	}
+}
