internal/gateway: let uploads wait for memory before they are refused

Cause: an upload that found no memory was refused at once, also if the uploads in its way had stopped and were about to be ended, or were about to be complete. The budget was a fixed share of the memory, though the program takes about the same on all machines.

Change: an upload waits for up to 1.5 s in all, and its sender with it. The budget is 0.6 of what MemoryMB exceeds 40 by, the collector's limit 0.7 of what it exceeds 15 by.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -62,18 +62,17 @@
 
 const (
 	// memoryShare is the part of the machine's memory beyond which the garbage collector
-	// works as hard as it must.
+	// works as hard as it must. The budget of the gateway is lower.
 	memoryShare = 0.7
-	// settingShare is that part of MemoryMB. It is lower, as the program's text, which the collector does not
-	// count, takes up to 15 MB of the smallest machine's 136.
-	settingShare = 0.6
-	bytesPerMB   = 1_000_000
+	// textMB is the memory of the program's text, which the collector does not count.
+	textMB     = 15
+	bytesPerMB = 1_000_000
 )
 
 // memoryLimit returns the bytes beyond which the garbage collector works as hard as it must, 0 for none.
 func memoryLimit(s gateway.Settings) int64 {
 	if s.MemoryMB > 0 {
-		return int64(settingShare * s.MemoryMB * bytesPerMB)
+		return int64(memoryShare * (s.MemoryMB - textMB) * bytesPerMB)
 	}
 	return int64(memoryShare * float64(machineMemory()))
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// budgetShare is the part of a host's memory that its connections, calls and bodies may use. The rest is for
-	// the program, its tables, and garbage until it is collected.
-	budgetShare = 0.42
+	// programMB is the memory of the program and its tables. budgetShare is the part of the rest that connections,
+	// calls and bodies may use; what remains is for garbage until it is collected.
+	programMB   = 40
+	budgetShare = 0.6
 	// defaultMemoryMB is the memory of a host without the setting.
 	defaultMemoryMB = 4096
 	minMemoryMB     = 64
@@ -29,6 +30,10 @@
 	firstBodyBytes = 2 << 10
 	// maxControlBodyBytes bounds the requests to the servers that expect none with a body.
 	maxControlBodyBytes = 16 << 10
+	// An upload waits for memory for memoryWait before it is refused: somewhat longer than others may stall. It asks again
+	// each memoryPoll.
+	memoryWait = 1500 * time.Millisecond
+	memoryPoll = 50 * time.Millisecond
 	// memoryLogInterval bounds the log lines on a lack of memory.
 	memoryLogInterval = time.Second
 
@@ -44,7 +49,7 @@
 	if mb == 0 {
 		mb = defaultMemoryMB
 	}
-	return memory.NewBudget(int(budgetShare * mb * bytesPerMB))
+	return memory.NewBudget(int(budgetShare * (mb - programMB) * bytesPerMB))
 }
 
 // held is the memory that a request holds until its response is written.
@@ -206,6 +211,7 @@
 	beganAt    time.Time
 	buffer     []byte
 	unreported int // bytes since the last progress of the upload
+	waited     time.Duration
 }
 
 // ended reports whether the upload was told to end.
@@ -257,6 +263,21 @@
 	}
 }
 
+// reserve reserves n bytes for the upload. If there are none, it waits until others have ended, so that the sender is
+// slowed down, and returns false after memoryWait in all.
+func (r *bodyReader) reserve(n int) bool {
+	for {
+		if r.gateway.applyMemory(r.held.upload.Grow(r.gateway.clock.Now(), n)) {
+			return true
+		}
+		if r.waited >= memoryWait || r.ended() {
+			return false
+		}
+		r.waited += memoryPoll
+		<-r.gateway.clock.After(memoryPoll)
+	}
+}
+
 // grow doubles the buffer, up to the announced length or the limit and a byte that shows that the body exceeds it. It
 // returns false if there is no memory.
 func (r *bodyReader) grow() bool {
@@ -266,12 +287,11 @@
 	}
 	before, size := cap(r.buffer), min(max(firstBodyBytes, 2*cap(r.buffer)), most)
 	if size > shortBodyBytes {
-		now := r.gateway.clock.Now()
 		if r.held.upload == nil {
 			c := r.ctx.Conn()
-			r.held.upload = r.gateway.memory.Begin(r.beganAt, now, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+			r.held.upload = r.gateway.memory.Begin(r.beganAt, r.gateway.clock.Now(), func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 		}
-		if !r.gateway.applyMemory(r.held.upload.Grow(now, size)) {
+		if !r.reserve(size) {
 			return false
 		}
 	}
--- a/internal/memory/upload.go
+++ b/internal/memory/upload.go
@@ -60,7 +60,8 @@
 	u.progressAt = now
 }
 
-// Grow asks for n more bytes for an upload.
+// Grow asks for n more bytes for an upload, whose buffer is full. It counts as progress also if it is refused, as the
+// sender does not cause the wait.
 func (u *Upload) Grow(now time.Time, n int) Decision {
 	b := u.budget
 	b.mu.Lock()
@@ -68,6 +69,7 @@
 	if u.reason != None {
 		return Decision{}
 	}
+	u.progressAt = now
 	d := b.reserve(now, Bodies, n, u)
 	if d.Granted {
 		u.held += n
