internal/gateway: end unread responses while others lack memory

Cause: clients that do not read their long responses held the memory for long responses (12 MiB) until the deadline of their calls. All other calls with long responses ran and got 502 meanwhile.

Change: a long response waits for memory for up to 1.5 s. While one waits, the response whose client has read nothing for the longest time, 2 s at least, is cut. Short responses need none of this memory.

--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -17,6 +17,7 @@
 	limit    int64
 	reserved atomic.Int64
 	within   Reserver
+	onShort  func(attempt int) bool
 }
 
 // Reserver is a larger budget of which a MemoryBudget is a part.
@@ -39,9 +40,15 @@
 // WithinBudget makes the MemoryBudget reserve in a larger budget too.
 func WithinBudget(r Reserver) MemoryOption { return func(m *MemoryBudget) { m.within = r } }
 
+// WithOnShort sets a function that is called when a reservation fails, with the number of failures before. It may
+// wait, and returns whether to try again.
+func WithOnShort(f func(attempt int) bool) MemoryOption {
+	return func(m *MemoryBudget) { m.onShort = f }
+}
+
 // NewMemoryBudget returns a MemoryBudget with a limit in bytes.
 func NewMemoryBudget(limit int, options ...MemoryOption) *MemoryBudget {
-	m := &MemoryBudget{limit: int64(limit), within: unlimited{}}
+	m := &MemoryBudget{limit: int64(limit), within: unlimited{}, onShort: func(int) bool { return false }}
 	for _, option := range options {
 		option(m)
 	}
@@ -54,6 +61,17 @@
 
 // reserve reserves n bytes and reports whether they are within the limit.
 func (m *MemoryBudget) reserve(n int) bool {
+	for attempt := 0; ; attempt++ {
+		if m.tryReserve(n) {
+			return true
+		}
+		if !m.onShort(attempt) {
+			return false
+		}
+	}
+}
+
+func (m *MemoryBudget) tryReserve(n int) bool {
 	if m.reserved.Add(int64(n)) <= m.limit && m.within.Reserve(n) {
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -260,7 +260,7 @@
 	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.storePool = exchange.NewPool(g.network, exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
-	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Responses}))
+	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Responses}), exchange.WithOnShort(g.awaitResponseMemory))
 	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Control}))
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
 		catalogue.WithClock(g.clock), catalogue.WithLogger(g.log.WithName("catalogue")), catalogue.WithOnChange(g.configure))
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -30,8 +30,8 @@
 	firstBodyBytes = 2 << 10
 	// maxControlBodyBytes bounds the requests to the servers that expect none with a body.
 	maxControlBodyBytes = 16 << 10
-	// An upload waits for memory for memoryWait before it is refused: somewhat longer than others may stall. It asks again
-	// each memoryPoll.
+	// An upload waits for memory for memoryWait before it is refused: somewhat longer than others may stall. A long
+	// response waits as long for each step. Both ask again each memoryPoll.
 	memoryWait = 1500 * time.Millisecond
 	memoryPoll = 50 * time.Millisecond
 	// memoryLogInterval bounds the log lines on a lack of memory.
@@ -184,6 +184,19 @@
 		"Responses", use.Bytes[memory.Responses], "Control", use.Bytes[memory.Control], "Uploads", use.Uploads, "Ending", use.Ending)
 }
 
+// awaitResponseMemory waits for the memory of long responses, and ends a response that its caller does not read. It
+// returns false once a response has waited for memoryWait.
+func (g *Gateway) awaitResponseMemory(attempt int) bool {
+	if attempt >= int(memoryWait/memoryPoll) {
+		g.metrics.add("memory_refusals_total{server=\""+callerServer+"\",of=\"response\"}", 1)
+		return false
+	}
+	g.logMemory()
+	g.callers.EndUnread()
+	<-g.clock.After(memoryPoll)
+	return true
+}
+
 // writeMemory writes the metrics of the budget.
 func (g *Gateway) writeMemory(w io.Writer) {
 	use := g.memory.Use()
--- a/internal/link/limiter.go
+++ b/internal/link/limiter.go
@@ -155,19 +155,34 @@
 	return nil
 }
 
-// longestBlocked returns the connection under way whose peer has sent or read nothing for the longest time, nil if
-// that is less than minBlockedTime.
-func (l *Limiter) longestBlocked() *limitedConn {
+// longestBlocked returns the connection under way whose peer has sent or read nothing for the longest time, of those
+// that may be closed. It returns nil if that is less than minBlockedTime.
+func (l *Limiter) longestBlocked(mayClose func(*limitedConn) bool) *limitedConn {
 	var longest *limitedConn
 	earliest := l.clock.Now().Add(-minBlockedTime).UnixNano()
 	for c := range l.conns {
-		if since := c.blockedSince.Load(); c.place == nil && !c.evicted && since != 0 && since <= earliest {
+		if since := c.blockedSince.Load(); c.place == nil && !c.evicted && since != 0 && since <= earliest && mayClose(c) {
 			longest, earliest = c, since
 		}
 	}
 	return longest
 }
 
+// EndUnread closes the connection whose peer has read nothing of a response for the longest time, minBlockedTime at
+// least. It reports whether there was one.
+func (l *Limiter) EndUnread() bool {
+	l.mu.Lock()
+	c := l.longestBlocked(func(c *limitedConn) bool { return c.writes.Load() })
+	if c != nil {
+		c.evict()
+	}
+	l.mu.Unlock()
+	if c != nil {
+		l.onEvent(Blocked)
+	}
+	return c != nil
+}
+
 // Listen returns a listener that keeps the bounds. The server must call OnState.
 func (l *Limiter) Listen(inner net.Listener) net.Listener {
 	return &limitedListener{Listener: inner, limiter: l}
@@ -236,7 +251,7 @@
 	}
 	other, event := l.longestIdle(), MadeRoom
 	if other == nil {
-		other, event = l.longestBlocked(), Blocked
+		other, event = l.longestBlocked(func(*limitedConn) bool { return true }), Blocked
 	}
 	if other == nil {
 		return Rejected, false
@@ -259,6 +274,7 @@
 	charged   bool // the connection holds memory
 	// blockedSince is when a call of Read or Write began that has not returned, 0 if there is none.
 	blockedSince atomic.Int64 // Unix nanoseconds
+	writes       atomic.Bool  // that call is of Write
 }
 
 // past is a deadline that has passed.
@@ -294,6 +310,7 @@
 
 // Read reads from the connection.
 func (c *limitedConn) Read(b []byte) (int, error) {
+	c.writes.Store(false)
 	c.blockedSince.Store(c.limiter.clock.Now().UnixNano())
 	defer c.blockedSince.Store(0)
 	return c.Conn.Read(b)
@@ -301,6 +318,7 @@
 
 // Write writes to the connection.
 func (c *limitedConn) Write(b []byte) (int, error) {
+	c.writes.Store(true)
 	c.blockedSince.Store(c.limiter.clock.Now().UnixNano())
 	defer c.blockedSince.Store(0)
 	return c.Conn.Write(b)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -17,7 +17,7 @@
 	Calls                   // the buffers of running calls, with short bodies
 	Bodies                  // of requests
 	Responses               // bodies and events of targets
-	Control                 // connections and responses of other hosts
+	Control                 // responses of other hosts to control requests
 	kinds
 )
 
