--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -60,9 +60,22 @@
 // processor time.
 const gcPercent = 40
 
-// memoryShare is the part of the machine's memory beyond which the garbage collector
-// works as hard as it must.
-const memoryShare = 0.7
+const (
+	// memoryShare is the part of the machine's memory beyond which the garbage collector
+	// works as hard as it must. The budget of the gateway is lower.
+	memoryShare = 0.7
+	// textMB is the memory of the program's text, which the collector does not count.
+	textMB     = 15
+	bytesPerMB = 1_000_000
+)
+
+// memoryLimit returns the bytes beyond which the garbage collector works as hard as it must, 0 for none.
+func memoryLimit(s gateway.Settings) int64 {
+	if s.MemoryMB > 0 {
+		return int64(memoryShare * (s.MemoryMB - textMB) * bytesPerMB)
+	}
+	return int64(memoryShare * float64(machineMemory()))
+}
 
 // machineMemory returns the memory of the machine in bytes, 0 if the system does not tell.
 func machineMemory() uint64 {
@@ -75,8 +88,8 @@
 
 func runGateway(ctx context.Context, o *outputs, path string, s gateway.Settings) error {
 	debug.SetGCPercent(gcPercent)
-	if memory := machineMemory(); memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	if limit := memoryLimit(s); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	sink := logsink.New(o.out)
 	logCtx, stopLogging := context.WithCancel(context.Background())
