--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -232,6 +232,9 @@
 		g.metrics.add("shares_wrong_total", 1)
 		return
 	}
+	if g.handleQuotaMessage(m) {
+		return
+	}
 	switch {
 	case m.LoadQuery != nil:
 		g.answerLoadQuery(m.Host, *m.LoadQuery)
@@ -259,12 +262,6 @@
 		g.answerStreamQuery(m.Host, *m.StreamQuery)
 	case m.StreamReply != nil:
 		g.streamReplies.deliver(m.StreamReply.ID, *m.StreamReply)
-	case m.QuotaQuery != nil:
-		g.answerQuotaQuery(m.Host, *m.QuotaQuery)
-	case m.QuotaReply != nil:
-		g.quotas.replies.deliver(m.QuotaReply.ID, *m.QuotaReply)
-	case m.Quota != nil:
-		g.applyQuota(m)
 	default:
 		g.applyMessage(m)
 	}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -149,6 +149,21 @@
 	return q.limiter.Due(now), true
 }
 
+// handleQuotaMessage handles a message that concerns quotas, and returns false for any other.
+func (g *Gateway) handleQuotaMessage(m peerMessage) bool {
+	switch {
+	case m.QuotaQuery != nil:
+		g.answerQuotaQuery(m.Host, *m.QuotaQuery)
+	case m.QuotaReply != nil:
+		g.quotas.replies.deliver(m.QuotaReply.ID, *m.QuotaReply)
+	case m.Quota != nil:
+		g.applyQuota(m)
+	default:
+		return false
+	}
+	return true
+}
+
 // applyQuota applies the message of another host.
 func (g *Gateway) applyQuota(m peerMessage) {
 	g.noticeSuspension()
