--- a/internal/allowance/fleet_test.go
+++ b/internal/allowance/fleet_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/sequoiarack/sequoiarack/internal/allowance"
 )
 
@@ -27,9 +29,10 @@
 	limits map[string]allowance.Limit
 	events map[int][]func() // by step
 	byName map[string]*host
-	// loss and duplicates are probabilities, delay the longest additional delay of a datagram.
+	// loss and duplicates are probabilities, delay the longest additional delay of a datagram, and
+	// minDelay the least.
 	loss, duplicates float64
-	delay            time.Duration
+	delay, minDelay  time.Duration
 	refundShare      float64
 	ledger           map[string][]entry
 	offered          map[string]float64
@@ -48,6 +51,7 @@
 	startedAt    time.Time
 	joinsAt      time.Time
 	limiter      *allowance.Limiter
+	sent         [allowance.Shards]float64 // seconds of share-time
 }
 
 func newSimulation(seed uint64, hosts, regions int, limits map[string]allowance.Limit) *simulation {
@@ -69,7 +73,7 @@
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 func (s *simulation) start(h *host) {
-	h.up, h.startedAt = true, s.now
+	h.up, h.startedAt, h.sent = true, s.now, [allowance.Shards]float64{}
 	h.joinsAt = s.now.Add(seconds(s.between(0.1, 0.9)))
 	h.limiter = allowance.New(h.name, s.now)
 	h.limiter.Configure(s.now, s.limits)
@@ -108,7 +112,7 @@
 
 func (s *simulation) updateFleets() {
 	for _, h := range s.hosts {
-		if h.up && s.now.After(h.joinsAt) {
+		if h.up && !s.now.Before(h.joinsAt) {
 			s.groups[h.group][h.name] = s.now
 		}
 	}
@@ -158,7 +162,7 @@
 		if s.rng.Float64() < s.loss {
 			continue
 		}
-		delay := 2 * time.Millisecond
+		delay := s.minDelay + 2*time.Millisecond
 		if from.region != to.region {
 			delay = 55 * time.Millisecond
 		}
@@ -222,6 +226,16 @@
 	})
 }
 
+// sendMessage sends a message between limiters, and checks that a host transfers no time twice.
+func (s *simulation) sendMessage(h *host, m allowance.Message) {
+	for _, t := range m.Transfers {
+		h.sent[t.Shard] += t.Seconds
+		Expect(h.sent[t.Shard]).To(BeNumerically("<=", s.now.Sub(h.startedAt).Seconds()+1e-6))
+	}
+	to, incarnation := s.byName[m.To], h.startedAt.UnixMilli()
+	s.send(h, to, func() { to.limiter.Receive(s.now, h.name, incarnation, m) })
+}
+
 // run advances the time, and calls tick at each step.
 func (s *simulation) run(span time.Duration, tick func()) {
 	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(step) {
@@ -237,8 +251,7 @@
 				continue
 			}
 			for _, m := range h.limiter.Due(s.now) {
-				to, incarnation := s.byName[m.To], h.startedAt.UnixMilli()
-				s.send(h, to, func() { to.limiter.Receive(s.now, h.name, incarnation, m) })
+				s.sendMessage(h, m)
 			}
 		}
 		tick()
--- a/internal/allowance/limiter_test.go
+++ b/internal/allowance/limiter_test.go
@@ -67,6 +67,79 @@
 	}
 })
 
+var _ = Describe("a limiter", func() {
+	limits := map[string]allowance.Limit{workspace: {PerSecond: 300_000, Burst: 300_000}}
+	everywhere := func(s *simulation) func() *host {
+		return func() *host { return s.hosts[s.rng.IntN(len(s.hosts))] }
+	}
+
+	// Guards against refunds that are lost, or add more than was charged.
+	It("returns the cost of calls that did not run", func() {
+		s := newSimulation(1, 12, 3, limits)
+		s.refundShare = 0.3
+		tick := s.load(workspace, always(6), everywhere(s))
+		s.run(6*time.Second, tick)
+		since := s.now
+		s.run(30*time.Second, tick)
+		Expect(s.granted(workspace, since) / (30 * 300_000)).To(BeNumerically("~", 1, 0.03))
+	})
+
+	// Guards against processes that start with tokens, or generate some before they know the fleet.
+	It("grants no burst after a restart of all hosts", func() {
+		const rate = 3_000_000 // so that the overdraft of a call does not matter
+		s := newSimulation(2, 12, 3, map[string]allowance.Limit{workspace: {PerSecond: rate, Burst: rate}})
+		tick := s.load(workspace, always(6), everywhere(s))
+		s.run(5*time.Second, tick)
+		s.run(5*time.Second, func() {}) // fills the buckets
+		for _, h := range s.hosts {
+			s.crash(h)
+		}
+		for _, h := range s.hosts {
+			s.start(h)
+		}
+		since := s.now
+		for range 40 {
+			s.run(100*time.Millisecond, tick)
+			Expect(s.granted(workspace, since)).To(BeNumerically("<=", rate*s.now.Sub(since).Seconds()))
+		}
+	})
+
+	// Guards against share-time that waits on its way and adds to full buckets.
+	It("keeps the quota when messages were held up and come together", func() {
+		s := newSimulation(3, 30, 3, map[string]allowance.Limit{workspace: {PerSecond: 3_000_000, Burst: 3_000_000}})
+		multiple := 0.0
+		s.minDelay = time.Second
+		tick := s.load(workspace, func() float64 { return multiple }, everywhere(s))
+		s.run(8*time.Second, tick)
+		s.minDelay, multiple = 0, 3
+		s.run(12*time.Second, tick)
+		s.expectBound(workspace)
+	})
+
+	// Guards against amounts that are used twice.
+	It("accepts each message once, in any order", func() {
+		now := time.Unix(1_700_000_000, 0)
+		l := allowance.New("a", now)
+		for _, m := range []struct {
+			incarnation int64
+			sequence    uint64
+			accepted    bool
+		}{{1, 1, true}, {1, 1, false}, {1, 70, true}, {1, 6, true}, {1, 6, false}, {1, 400, true}, {1, 70, false}, {1, 150, true}, {1, 150, false}, {2, 1, true}, {1, 401, false}, {2, 1, false}} {
+			Expect(l.Receive(now, "b", m.incarnation, allowance.Message{Sequence: m.sequence})).To(Equal(m.accepted), "%+v", m)
+		}
+	})
+
+	// Guards against tokens whose time is not known after a suspension.
+	It("has no tokens after a suspension", func() {
+		s := newSimulation(4, 1, 1, limits)
+		s.run(20*time.Second, func() {})
+		l := s.hosts[0].limiter
+		Expect(l.Acquire(s.now, workspace, 1000).Outcome).To(Equal(allowance.Granted))
+		l.Invalidate(s.now)
+		Expect(l.Acquire(s.now, workspace, 1000).Outcome).To(Equal(allowance.Denied))
+	})
+})
+
 // disturb lets a fault of a random kind happen for some seconds.
 func (s *simulation) disturb() {
 	span := seconds(s.between(1, 9))
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -232,9 +232,6 @@
 		g.metrics.add("shares_wrong_total", 1)
 		return
 	}
-	if g.handleQuotaMessage(m) {
-		return
-	}
 	switch {
 	case m.LoadQuery != nil:
 		g.answerLoadQuery(m.Host, *m.LoadQuery)
@@ -263,7 +260,7 @@
 	case m.StreamReply != nil:
 		g.streamReplies.deliver(m.StreamReply.ID, *m.StreamReply)
 	default:
-		g.applyMessage(m)
+		g.handleQuotaMessage(m)
 	}
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -149,8 +149,8 @@
 	return q.limiter.Due(now), true
 }
 
-// handleQuotaMessage handles a message that concerns quotas, and returns false for any other.
-func (g *Gateway) handleQuotaMessage(m peerMessage) bool {
+// handleQuotaMessage handles a message that concerns quotas, and any other as a load report.
+func (g *Gateway) handleQuotaMessage(m peerMessage) {
 	switch {
 	case m.QuotaQuery != nil:
 		g.answerQuotaQuery(m.Host, *m.QuotaQuery)
@@ -159,9 +159,8 @@
 	case m.Quota != nil:
 		g.applyQuota(m)
 	default:
-		return false
+		g.applyMessage(m)
 	}
-	return true
 }
 
 // applyQuota applies the message of another host.
