--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -259,14 +259,8 @@
 		g.answerStreamQuery(m.Host, *m.StreamQuery)
 	case m.StreamReply != nil:
 		g.streamReplies.deliver(m.StreamReply.ID, *m.StreamReply)
-	case m.QuotaQuery != nil:
-		g.answerQuotaQuery(m.Host, *m.QuotaQuery)
-	case m.QuotaReply != nil:
-		g.quotas.replies.deliver(m.QuotaReply.ID, *m.QuotaReply)
-	case m.Quota != nil:
-		g.applyQuota(m)
 	default:
-		g.applyMessage(m)
+		g.handleQuotaMessage(m)
 	}
 }
 
