internal/gateway: refund the workspace that was charged

Cause: while a call runs, its key may be withdrawn or move to another workspace, which must not get the refund. Change: the call keeps the name of the workspace that it was charged to.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,8 +25,10 @@
 	// workspace is that of the caller's key, nil for calls without one, and credential the digest of the key.
 	workspace  *route.Workspace
 	credential string
-	// charged is what the call has cost its workspace at this host.
+	// charged is what the call has cost the quota of a workspace, payer, at this host. The key of the call may have
+	// another holder since, or none.
 	charged float64
+	payer   string
 	// fromPeer is set when another host forwarded the call.
 	fromPeer   bool
 	acceptedAt time.Time // arrival at the host that the caller chose
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -351,7 +351,7 @@
 	group.Go("load report sender", g.sendLoadReports)
 	group.Go("load report receiver", g.receiveMessages)
 	group.Go("limit lender", g.lendLimits)
-	group.Go("quota keeper", g.keepQuotas)
+	group.Go("quota sender", g.keepQuotas)
 	group.Go("examiner", g.examineCrashes)
 	group.Go("health checker", g.checkHealth)
 	group.Go("path prober", g.probePaths)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -204,7 +204,7 @@
 	cost := c.workspace.Quota.Cost(c.meta.QuotaTokens)
 	d := c.acquireQuota(cost)
 	if d.Outcome == allowance.Granted {
-		c.charged = cost
+		c.charged, c.payer = cost, c.workspace.Name
 		return reply{}, false
 	}
 	g.metrics.add(fmt.Sprintf("calls_over_quota_total{workspace=%q,result=%q}", c.workspace.Name, d.Outcome), 1)
@@ -278,7 +278,7 @@
 	q := &c.gateway.quotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limiter.Refund(c.gateway.clock.Now(), c.workspace.Name, c.charged)
+	q.limiter.Refund(c.gateway.clock.Now(), c.payer, c.charged)
 	c.charged = 0
 }
 
