internal/balance: take calls of urgent routes for urgent whatever their workspace's priority

Cause: a workspace's priority takes the place of the route's, so that calls of an urgent route of a workspace with priority 1 were refused at two thirds of the pauses at which they were accepted before. Change: the pauses that a call tolerates go by its route, its order at targets by its workspace.

--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -123,7 +123,7 @@
 // work should not be started.
 func (p Policy) strained(w Work, pause time.Duration) bool {
 	share := p.PauseShare
-	if w.Priority == 0 {
+	if w.Priority == 0 || w.Urgent {
 		share = p.UrgentPauseShare
 	}
 	return w.MaxGap > 0 && pause > Scale(w.MaxGap, share)
--- a/internal/balance/policy_test.go
+++ b/internal/balance/policy_test.go
@@ -69,3 +69,19 @@
 		Expect(balance.Decide(in).Region).To(Equal("south"))
 	})
 })
+
+// Guards against large calls of an urgent route that are refused, while bursts make streams pause, because their
+// workspace has a priority other than 0.
+var _ = Describe("a call while streams pause for half of what is acceptable", func() {
+	DescribeTable("starts if it is urgent by its own priority or by its route", func(priority int, urgent, starts bool) {
+		d := balance.Decide(balance.DecisionInput{
+			HasLocal: true, Local: balance.Choice{Pause: 200 * time.Millisecond}, LatencyObjective: time.Second, Remaining: 10 * time.Second,
+			Work: balance.Work{Service: "model", Tokens: 1000, Priority: priority, Urgent: urgent, MaxGap: 400 * time.Millisecond},
+		})
+		Expect(d.Local).To(Equal(starts))
+	},
+		Entry("priority 0", 0, false, true),
+		Entry("an urgent route of a workspace with priority 1", 1, true, true),
+		Entry("neither", 1, false, false),
+	)
+})
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -21,6 +21,9 @@
 type Work struct {
 	Service  string
 	Priority int
+	// Urgent calls may start while streams pause for longer, like calls of priority 0: calls of an urgent route,
+	// whatever the priority of their workspace.
+	Urgent bool
 	// Tokens is the length of the prompt; 0 for calls without one.
 	Tokens int
 	// Parts are the pieces of the prompt in order. All but the last may be shared with the
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -92,7 +92,7 @@
 func (c *activeCall) setRoute(table *route.Table, r *route.Route) {
 	c.route, c.version, c.service = r.For(c.workspace), table.Version(), r.PickService(c.meta.ID)
 	c.work = balance.Work{
-		Service: c.service, Priority: c.route.Priority, Tokens: c.meta.Tokens, Parts: c.meta.Parts, MaxGap: r.MaxGap, Key: c.meta.ID,
+		Service: c.service, Priority: c.route.Priority, Urgent: r.Priority == 0, Tokens: c.meta.Tokens, Parts: c.meta.Parts, MaxGap: r.MaxGap, Key: c.meta.ID,
 		NoHold: c.gateway.settings.Policy.HoldShare == 0,
 	}
 }
