--- a/internal/allowance/fleet_test.go
+++ b/internal/allowance/fleet_test.go
@@ -267,8 +267,8 @@
 	return s.between(100, 1920)
 }
 
-// load returns a tick that sends calls of a workspace at a multiple of its rate to the hosts that pick returns.
-func (s *simulation) load(workspace string, multiple func() float64, pick func() *host) func() {
+// load returns a tick that sends calls of the workspace at a multiple of its rate to the hosts that pick returns.
+func (s *simulation) load(multiple func() float64, pick func() *host) func() {
 	due := 0.0
 	return func() {
 		due += multiple() * s.limits[workspace].PerSecond * step.Seconds()
--- a/internal/allowance/limiter_test.go
+++ b/internal/allowance/limiter_test.go
@@ -54,7 +54,7 @@
 				if c.hosts == 1 {
 					s.run(15*time.Second, func() {}) // until it takes itself for the only one
 				}
-				tick := s.load(workspace, always(multiple), pick)
+				tick := s.load(always(multiple), pick)
 				s.run(4*time.Second, tick)
 				since := s.now
 				s.run(c.span, tick)
@@ -77,7 +77,7 @@
 	It("returns the cost of calls that did not run", func() {
 		s := newSimulation(1, 12, 3, limits)
 		s.refundShare = 0.3
-		tick := s.load(workspace, always(6), everywhere(s))
+		tick := s.load(always(6), everywhere(s))
 		s.run(6*time.Second, tick)
 		since := s.now
 		s.run(30*time.Second, tick)
@@ -88,7 +88,7 @@
 	It("grants no burst after a restart of all hosts", func() {
 		const rate = 3_000_000 // so that the overdraft of a call does not matter
 		s := newSimulation(2, 12, 3, map[string]allowance.Limit{workspace: {PerSecond: rate, Burst: rate}})
-		tick := s.load(workspace, always(6), everywhere(s))
+		tick := s.load(always(6), everywhere(s))
 		s.run(5*time.Second, tick)
 		s.run(5*time.Second, func() {}) // fills the buckets
 		for _, h := range s.hosts {
@@ -106,12 +106,12 @@
 
 	// Guards against share-time that waits on its way and adds to full buckets.
 	It("keeps the quota when messages were held up and come together", func() {
-		s := newSimulation(3, 30, 3, map[string]allowance.Limit{workspace: {PerSecond: 3_000_000, Burst: 3_000_000}})
+		s := newSimulation(3, 60, 3, map[string]allowance.Limit{workspace: {PerSecond: 8_000_000, Burst: 1_600_000}})
 		multiple := 0.0
 		s.minDelay = time.Second
-		tick := s.load(workspace, func() float64 { return multiple }, everywhere(s))
+		tick := s.load(func() float64 { return multiple }, everywhere(s))
 		s.run(8*time.Second, tick)
-		s.minDelay, multiple = 0, 3
+		s.minDelay, multiple = 0, 2
 		s.run(12*time.Second, tick)
 		s.expectBound(workspace)
 	})
@@ -199,7 +199,7 @@
 			}
 			changes := []change{{s.now, limits[workspace]}}
 			one, multiple, now := s.hosts[0], 1.0, s.now
-			tick := s.load(workspace, func() float64 { return multiple }, func() *host {
+			tick := s.load(func() float64 { return multiple }, func() *host {
 				if one != nil {
 					return one
 				}
