internal/allowance: state the time until there is room for calls within the overdraft

A denied call that fits into the overdraft only needs a balance above zero; its caller was told to wait for less. An overdraft that is handed over is bounded.

--- a/internal/allowance/bucket.go
+++ b/internal/allowance/bucket.go
@@ -76,10 +76,10 @@
 	a.bucket = min(a.bucket+tokens, capacity)
 }
 
-// addLot adds tokens from another region.
+// addLot adds tokens from another host. They are negative if that hands over an overdraft.
 func (a *account) addLot(now time.Time, tokens float64) {
 	if tokens <= 0 {
-		a.bucket += tokens
+		a.bucket += max(tokens, -maxOverdraft)
 		return
 	}
 	a.fruitless = 0
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -81,8 +81,9 @@
 
 // credit adds share-time to the buckets of a shard.
 func (l *Limiter) credit(now time.Time, s *shard, share float64) {
+	owned := l.ownedShare(now, s)
 	for _, a := range s.accounts {
-		a.add(share*a.limit.PerSecond, l.capacity(now, s, a))
+		a.add(share*a.limit.PerSecond, a.limit.burst()*owned)
 	}
 }
 
@@ -117,7 +118,7 @@
 		l.stats.TokensGranted += cost
 		return Reply{Granted: true}
 	}
-	reply := Reply{RetryAfterMs: retryAfter(a, min(cost-overdraft, a.limit.burst()*share)-a.balance(now), share).Milliseconds()}
+	reply := Reply{RetryAfterMs: retryAfter(a, max(0, min(cost-overdraft, a.limit.burst()*share))-a.balance(now), share).Milliseconds()}
 	switch {
 	case share == 0 && s.owner == l.self:
 		reply.Unready = true
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -87,6 +87,7 @@
 func (q *quotas) setView(now time.Time, v allowance.View) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	v.Leaving = v.Leaving || q.view.Leaving // v may have been read before the host began to leave
 	if v.SameFleet(q.view) {
 		q.view.Uptime = v.Uptime
 		return
