--- a/internal/allowance/exchange.go
+++ b/internal/allowance/exchange.go
@@ -188,6 +188,9 @@
 
 // give sends the owners in other regions what they ask for, as far as this one has more than it will need.
 func (l *Limiter) give(now time.Time, a *account, o *outgoing) {
+	if len(a.asks) == 0 {
+		return
+	}
 	for _, host := range slices.Sorted(maps.Keys(a.asks)) {
 		wanted := a.asks[host]
 		if !now.Before(wanted.until) {
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -83,17 +83,20 @@
 	q.limiter.Configure(now, limits)
 }
 
-// setView sets what is known of the fleet, if that has changed.
-func (q *quotas) setView(now time.Time, v allowance.View) {
+// setView sets what is known of the fleet, and returns it. It returns false if that is the
+// same as before, or concerns no quota.
+func (q *quotas) setView(now time.Time, v allowance.View) (allowance.Fleet, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	v.Leaving = v.Leaving || q.view.Leaving // v may have been read before the host began to leave
 	if v.SameFleet(q.view) {
 		q.view.Uptime = v.Uptime
-		return
+		return allowance.Fleet{}, false
 	}
 	q.view = v
-	q.limiter.SetFleet(now, allowance.NewFleet(v))
+	f := allowance.NewFleet(v)
+	q.limiter.SetFleet(now, f)
+	return f, q.limited
 }
 
 // updateQuotaFleet tells the limiter which hosts there are. Hosts of older builds generate no tokens.
@@ -112,7 +115,9 @@
 		}
 		v.Hosts = append(v.Hosts, allowance.Host{Name: m.Host, Region: m.Region, Live: m.InUse() && !silent[m.Host]})
 	}
-	g.quotas.setView(now, v)
+	if f, changed := g.quotas.setView(now, v); changed {
+		g.log.Info("The hosts that keep quotas have changed.", "Regions", f.Regions, "Settled", f.Settled, "Leaving", f.Leaving, "UptimeMs", v.Uptime.Milliseconds())
+	}
 }
 
 // keepQuotas sends the messages of quotas until ctx is done.
