--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -232,9 +232,12 @@
 			break
 		}
 		r, answered := c.queryQuota(d, cost)
-		if answered {
+		switch {
+		case answered:
 			d = decide(func(now time.Time) allowance.Decision { return q.limiter.Resolve(now, name, cost, d, r) })
-		} else {
+		case c.ctx.Err() != nil: // says nothing of the owner
+			return allowance.Decision{Outcome: allowance.Unavailable, Owner: d.Owner}
+		default:
 			d = decide(func(now time.Time) allowance.Decision { return q.limiter.Unanswered(now, name, d) })
 		}
 	}
@@ -262,9 +265,9 @@
 		}
 		return r.Reply, true
 	case <-g.clock.After(d.Timeout):
+		g.countQuotaQuery(quotaUnanswered)
 	case <-c.ctx.Done():
 	}
-	g.countQuotaQuery(quotaUnanswered)
 	return allowance.Reply{}, false
 }
 
