internal/memory, internal/gateway: count bodies of other hosts apart, and drop events that have been relayed

Cause: a crowd of callers could keep out longer bodies of other hosts, such as updates of the configuration.

Change: bodies of other hosts are of the kind "control", which may use the reserve too; when it is short, uploads of the other kind end only if that helps. A relay drops events once they have been written. A running call counts as 64 KiB, as its buffers, a short body and its goroutines take that much.

--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -110,7 +110,6 @@
 func (b *Body) Reset() {
 	if b.HasReservation() {
 		b.Release()
-		b.Bytes = nil
 		return
 	}
 	b.Bytes = b.Bytes[:0]
@@ -119,9 +118,11 @@
 // HasReservation reports whether the body has reserved bytes of the budget.
 func (b *Body) HasReservation() bool { return b.reserved > 0 }
 
-// Release returns the body's reservation to the budget. It may be called more than once.
+// Release returns the body's reservation to the budget, and drops the buffer that had it. It may be called more than
+// once.
 func (b *Body) Release() {
 	if b.reserved > 0 {
+		b.Bytes = nil
 		b.budget.release(b.reserved)
 		b.reserved = 0
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -230,7 +230,7 @@
 	if !c.fromPeer {
 		c.recordStream(u)
 	}
-	ctx.Response.SetBodyStream(&relay{call: c, upstream: u, pending: u.first, ended: u.ended, finish: end, status: r.status}, -1)
+	ctx.Response.SetBodyStream(&relay{call: c, upstream: u, pending: u.takeFirst(), ended: u.ended, finish: end, status: r.status}, -1)
 }
 
 // releasingBody releases the memory of a body once it has been written.
@@ -267,7 +267,9 @@
 	}
 	if len(r.pending) > 0 {
 		n := copy(b, r.pending)
-		r.pending = r.pending[n:]
+		if r.pending = r.pending[n:]; len(r.pending) == 0 {
+			r.pending = nil // its memory is returned while the next event is read
+		}
 		return n, nil
 	}
 	if r.err != nil && !isEOF(r.err) {
@@ -295,7 +297,7 @@
 		if r.upstream.ended {
 			return nil, io.EOF
 		}
-		event, err = r.upstream.first, nil
+		event, err = r.upstream.takeFirst(), nil
 	}
 	r.events++
 	return event, err
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -23,8 +23,9 @@
 	bytesPerMB      = 1_000_000
 	// connectionBytes is the memory of an open connection: its read buffer and its stack.
 	connectionBytes = 32 << 10
-	// callBytes is that of a running call: a short body, the buffers of the response and of the connection to the target.
-	callBytes = 32 << 10
+	// callBytes is that of a running call: a short body, the buffers of the response and of the connection to the
+	// target, and stacks.
+	callBytes = 64 << 10
 	// shortBodyBytes bounds the bodies that are part of callBytes, and firstBodyBytes is the first buffer of a body.
 	shortBodyBytes = 16 << 10
 	firstBodyBytes = 2 << 10
@@ -115,6 +116,9 @@
 		return true
 	}
 	r := bodyReader{gateway: g, ctx: ctx, from: stream, held: h, announced: ctx.Request.Header.ContentLength(), limit: g.maxBody(server), beganAt: g.clock.Now()}
+	if r.kind = memory.Bodies; server == peerServer {
+		r.kind = memory.Control
+	}
 	body, err := r.readAll()
 	switch {
 	case errors.Is(err, errMemory) || r.ended():
@@ -221,6 +225,7 @@
 	held       *held
 	announced  int // -1 if the body is chunked
 	limit      int
+	kind       memory.Kind
 	beganAt    time.Time
 	buffer     []byte
 	unreported int // bytes since the last progress of the upload
@@ -302,7 +307,7 @@
 	if size > shortBodyBytes {
 		if r.held.upload == nil {
 			c := r.ctx.Conn()
-			r.held.upload = r.gateway.memory.Begin(r.beganAt, r.gateway.clock.Now(), func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+			r.held.upload = r.gateway.memory.Begin(r.kind, r.beganAt, r.gateway.clock.Now(), func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 		}
 		if !r.reserve(size) {
 			return false
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -459,6 +459,13 @@
 	return u.readFirstEvent()
 }
 
+// takeFirst returns the first event and drops it, so that its memory is not held as long as the stream.
+func (u *upstreamResponse) takeFirst() []byte {
+	first := u.first
+	u.first = nil
+	return first
+}
+
 func (u *upstreamResponse) readFirstEvent() error {
 	event, err := u.stream.next()
 	if isEOF(err) {
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -15,9 +15,9 @@
 const (
 	Connections Kind = iota // of callers, with their read buffers
 	Calls                   // the buffers of running calls, with short bodies
-	Bodies                  // of requests
+	Bodies                  // of callers' requests
 	Responses               // bodies and events of targets
-	Control                 // responses of other hosts to control requests
+	Control                 // bodies of other hosts: of their requests, and of responses to control requests
 	kinds
 )
 
@@ -45,7 +45,7 @@
 )
 
 // shares are the parts of the memory that the kinds may use at most.
-var shares = [kinds]float64{Connections: 0.5, Calls: 1, Bodies: 0.6, Responses: 0.25, Control: 0.3}
+var shares = [kinds]float64{Connections: 0.5, Calls: 1, Bodies: 0.6, Responses: 0.25, Control: 0.5}
 
 // Budget is the memory of a process for connections, calls and bodies. It is safe for concurrent use.
 type Budget struct {
@@ -81,6 +81,11 @@
 // MaxBody returns the length of the longest body that the budget has room for.
 func (b *Budget) MaxBody() int { return int(maxBodyShare * shares[Bodies] * float64(b.total)) }
 
+// inShare reports whether n more bytes of a kind are within its share.
+func (b *Budget) inShare(kind Kind, n int) bool {
+	return float64(b.used[kind]+n) <= shares[kind]*float64(b.total)
+}
+
 // fits reports whether n more bytes of a kind are within the budget.
 func (b *Budget) fits(kind Kind, n int) bool {
 	sum := n
@@ -91,7 +96,7 @@
 	if kind != Calls && kind != Control {
 		limit *= 1 - reserveShare
 	}
-	return float64(b.used[kind]+n) <= shares[kind]*float64(b.total) && float64(sum) <= limit
+	return b.inShare(kind, n) && float64(sum) <= limit
 }
 
 // Reserve reserves n bytes and reports whether they are within the budget.
--- a/internal/memory/upload.go
+++ b/internal/memory/upload.go
@@ -8,6 +8,7 @@
 // Upload is the body of a request that is being read, and then held by its call.
 type Upload struct {
 	budget     *Budget
+	kind       Kind
 	interrupt  func()
 	held       int
 	beganAt    time.Time
@@ -43,10 +44,10 @@
 	return d.Granted
 }
 
-// Begin adds an upload that began at a time and holds nothing. Function interrupt must make its reader fail; the upload
+// Begin adds an upload of a kind that began at a time and holds nothing. Function interrupt must make its reader fail; the upload
 // holds its memory until Release.
-func (b *Budget) Begin(beganAt, now time.Time, interrupt func()) *Upload {
-	u := &Upload{budget: b, interrupt: interrupt, beganAt: beganAt, progressAt: now}
+func (b *Budget) Begin(kind Kind, beganAt, now time.Time, interrupt func()) *Upload {
+	u := &Upload{budget: b, kind: kind, interrupt: interrupt, beganAt: beganAt, progressAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.uploads = append(b.uploads, u)
@@ -70,7 +71,7 @@
 		return Decision{}
 	}
 	u.progressAt = now
-	d := b.reserve(now, Bodies, n, u)
+	d := b.reserve(now, u.kind, n, u)
 	if d.Granted {
 		u.held += n
 	}
@@ -90,7 +91,7 @@
 	if u.reason != None {
 		u.budget.ending -= n
 	} else {
-		u.budget.used[Bodies] -= n
+		u.budget.used[u.kind] -= n
 	}
 }
 
@@ -130,12 +131,12 @@
 func (b *Budget) reserve(now time.Time, kind Kind, n int, by *Upload) Decision {
 	var d Decision
 	for !b.fits(kind, n) {
-		u, reason := b.nextToEnd(now)
+		u, reason := b.nextToEnd(now, kind, b.inShare(kind, n))
 		if u == nil || u == by || float64(b.ending+u.held) > overdraftShare*float64(b.total) {
 			return d
 		}
 		u.reason = reason
-		b.used[Bodies] -= u.held
+		b.used[u.kind] -= u.held
 		b.ending += u.held
 		b.forget(u)
 		d.End = append(d.End, u)
@@ -146,14 +147,18 @@
 }
 
 // nextToEnd returns the unfinished upload that ends first when memory is short: the one that has made no progress
-// for the longest time, then the one that has been unfinished for the longest time, then the newest.
-func (b *Budget) nextToEnd(now time.Time) (*Upload, Reason) {
-	var stalled, newest *Upload
+// for the longest time, then the one that has been unfinished for the longest time, then the newest. Unless others help
+// too, it is of the kind for which memory is short.
+func (b *Budget) nextToEnd(now time.Time, kind Kind, othersHelp bool) (*Upload, Reason) {
+	var stalled, oldest, newest *Upload
 	for _, u := range b.uploads {
-		if u.held == 0 {
+		if u.held == 0 || u.kind != kind && !othersHelp {
 			continue
 		}
 		newest = u
+		if oldest == nil {
+			oldest = u
+		}
 		if now.Sub(u.progressAt) >= stallTime && (stalled == nil || u.progressAt.Before(stalled.progressAt)) {
 			stalled = u
 		}
@@ -161,9 +166,8 @@
 	if stalled != nil {
 		return stalled, Stalled
 	}
-	i := slices.IndexFunc(b.uploads, func(u *Upload) bool { return u.held > 0 })
-	if i >= 0 && now.Sub(b.uploads[i].beganAt) >= longTime {
-		return b.uploads[i], Long
+	if oldest != nil && now.Sub(oldest.beganAt) >= longTime {
+		return oldest, Long
 	}
 	return newest, Newest
 }
