--- a/internal/gateway/workspace_test.go
+++ b/internal/gateway/workspace_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiarack/sequoiarack/internal/allowance"
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/clock"
@@ -40,6 +41,7 @@
 		settings: Settings{RevocationMs: revocationMs}, clock: c, started: c.now, log: logr.Discard(), metrics: newMetrics(), balancer: balance.NewBalancer("north", 1),
 		lastMessages: map[string]messageStamp{"other": {incarnation: 1, report: 5}}, signer: seal.New("key"),
 	}
+	g.quotas.limiter = allowance.New("host", g.clock.Now())
 	g.sinceBoot = func() time.Duration { return c.now.Sub(g.started) + *suspended }
 	g.follower = catalogue.NewFollower(catalogue.New(nil, nil), nil, nil, followingGroup{}, c, logr.Discard())
 	return g, c, suspended
