internal/gateway: use a fifth of the tolerated overage of quotas as burst

Cause: half of it, with the tokens that may be on their way, adds up to more than the bound allows. Change: a fifth.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -26,7 +26,7 @@
 	quotaFleetInterval = 200 * time.Millisecond
 	// overageShare is the part of the tolerated overage that is added to the burst of quotas. The rest is for hosts
 	// that do not know of each other.
-	overageShare = 0.5
+	overageShare = 0.2
 	// maxQuotaQueries bounds the queries of one call: of the owner, of one in its place, and of the one that
 	// this names.
 	maxQuotaQueries = 3
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -54,7 +54,7 @@
 	// a key. 0 means that hosts go by the newest configuration that they have.
 	RevocationMs float64 `json:"RevocationMs,omitempty"`
 	// QuotaOverage is the part by which the calls of a workspace may exceed its quota in any period of
-	// QuotaWindowSeconds. Hosts use half of it for a larger burst, so that calls within the quota are not refused while
+	// QuotaWindowSeconds. Hosts use a fifth of it for a larger burst, so that calls within the quota are not refused while
 	// tokens are on their way between hosts.
 	QuotaOverage       float64 `json:"QuotaOverage,omitempty"`
 	QuotaWindowSeconds float64 `json:"QuotaWindowSeconds,omitempty"`
