internal/bench/policy: measure how evenly hosts with old reports load targets

Cause: operators see targets overrun in turn while others idle. Nothing measured the choices of package balance by hosts, age of reports and speeds of targets.

Change: sequoiarack-bench even-load simulates the hosts of three regions with package balance as the gateway uses it, over the replicas of the policy bench, and compares it with an all-knowing choice and with the targets divided among hosts. Replicas take the length of the shared part and of a step's prompt tokens.

--- a/cmd/sequoiarack-bench/cmd/root.go
+++ b/cmd/sequoiarack-bench/cmd/root.go
@@ -52,7 +52,7 @@
 		LongHelp: "Measures sequoiarack. With --json, results are printed as JSON, one object per\nline. They compare runs of the same process, so they hold on any machine.",
 		FlagSet:  newFlagSet("sequoiarack-bench", o),
 		Subcommands: []*ffcli.Command{
-			newRelay(o), newControl(o), newPolicy(o), newStandins(o), newChild(o),
+			newRelay(o), newControl(o), newPolicy(o), newEvenLoad(o), newStandins(o), newChild(o),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/internal/bench/policy/replica.go
+++ b/internal/bench/policy/replica.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"container/heap"
 	"container/list"
 	"slices"
@@ -60,6 +61,7 @@
 	sampledAt     time.Duration // time of the last speed sample
 	sampledTokens int           // tokens produced by the last speed sample
 	tokenInterval time.Duration // mean time between tokens in the last speed sample
+	cached        bool          // the replica had the shared part of the prompt in its cache
 	dropped       bool          // cancelled: no reader is left
 }
 
@@ -72,6 +74,7 @@
 	running  []*sequence
 	waiting  []*sequence
 	stepping bool
+	chunk    int     // prompt tokens read in one step, 0 for the default
 	slowdown float64 // multiplies the step time; 1 is normal speed
 	down     bool
 	busy     time.Duration
@@ -123,7 +126,10 @@
 			continue
 		}
 		s.prefill = float64(s.job.prompt)
-		if r.touch(s.job.prefix) {
+		switch s.cached = r.touch(s.job.prefix); {
+		case s.cached && s.job.shared > 0:
+			s.prefill -= float64(s.job.shared)
+		case s.cached:
 			s.prefill *= 1 - cachedPromptShare
 		}
 		r.running = append(r.running, s)
@@ -138,13 +144,17 @@
 	r.clock.after(took, r.step)
 }
 
-// cachedPromptShare is the share of a prompt that a cached prefix covers.
+// cachedPromptShare is the share of a prompt that a cached prefix covers, unless the job
+// states the length of its shared part.
 const cachedPromptShare = 0.7
 
+// defaultChunk is the number of prompt tokens that a replica reads in one step.
+const defaultChunk = 512
+
 // stepTime returns the duration of a step: it produces one token for each sequence and
 // reads at most chunk tokens of new prompts.
 func (r *replica) stepTime() time.Duration {
-	const chunk = 512.0 // prompt tokens read in one step
+	chunk := float64(cmp.Or(r.chunk, defaultChunk))
 	ms := r.spec.StepMs + r.spec.StepPerSequenceMs*float64(len(r.running)-1)
 	left := chunk
 	for _, s := range r.running {
--- a/internal/bench/policy/simulation.go
+++ b/internal/bench/policy/simulation.go
@@ -18,6 +18,7 @@
 	arrived   time.Duration
 	tokens    int
 	prompt    int
+	shared    int // prompt tokens of the part that prefix identifies, 0 for a fixed share
 	prefix    int
 	workspace int
 	homeOnly  bool // only the home region may serve the job
