internal/balance: choose targets by measured speeds and sampled queries

Cause: hosts of a large region learn the speed of a target from their own few calls, all query the targets that were least loaded at the last report, and send to targets whose slots are all taken.

Change: a target's coordinator measures its reading rate from the reports that it gets anyway and adds it to its replies and reports, in optional fields that the build before ignores. Hosts sample two of the targets that they query, by predicted time and the age of the report. Targets that refuse calls when full get none while most candidates have free slots. Each has a field in the policy. Counters for queries, queries without a reply, refused sends and full targets that were avoided.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -61,6 +61,7 @@
 	formerLimits map[string]limitRecord
 	limitQueues  map[string]time.Time     // by service, see QueueForLimit
 	brittle      map[string]brittleRecord // by service
+	refusedAt    map[string]time.Time     // by service, see avoidsFull
 	doubts       uint64                   // number of the last doubt of this host
 	refutations  []Statement              // see DueStatements
 	polledAt     time.Time                // last call of DueDoubts
@@ -90,7 +91,7 @@
 func NewBalancer(region string, seed uint64, options ...Option) *Balancer {
 	b := &Balancer{policy: DefaultPolicy(), region: region, attachedReach: ReachMost, toldReach: ReachMost, random: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*target{}, coldRates: map[string]float64{}, coldStarts: map[string]time.Duration{},
 		readRates: map[string]*rateEstimate{}, fetchRates: map[string]*rateEstimate{}, promptServices: map[string]bool{}, ownFlows: map[string]*serviceFlows{}, peerFlows: map[string]hostFlows{},
-		workPerCall: map[string]float64{}, formerLimits: map[string]limitRecord{}, limitQueues: map[string]time.Time{}, brittle: map[string]brittleRecord{}}
+		workPerCall: map[string]float64{}, formerLimits: map[string]limitRecord{}, limitQueues: map[string]time.Time{}, brittle: map[string]brittleRecord{}, refusedAt: map[string]time.Time{}}
 	for _, option := range options {
 		option(b)
 	}
@@ -127,6 +128,7 @@
 			known = newTarget(t, b.readRate(t.Service), b.fetchRate(t.Service))
 			b.targets[id] = known
 			b.assign(known)
+			b.selectPace(known)
 			b.restoreLimit(known)
 			b.expectWarm(now, known)
 		case known.Incarnation != t.Incarnation:
@@ -168,6 +170,7 @@
 	previous, previousHolders := b.hosts.Live, b.hosts.holders()
 	b.hosts = h
 	b.reassignAll(now, previousHolders)
+	b.selectPaces()
 	if !b.Coordinated() || slices.Equal(previous, h.Live) {
 		return // in a small region, shares expire soon by themselves
 	}
@@ -220,6 +223,8 @@
 	Pause time.Duration
 	// Version is the software version of the target, Unknown while its process is in doubt.
 	Version continuation.Version
+	// Full is the number of candidates that were left out because all of their slots are taken.
+	Full int
 	// NoPath is set if this host has no path to the target and must pass the call to another host
 	// of the region.
 	NoPath bool
@@ -231,7 +236,8 @@
 func (b *Balancer) Choose(now time.Time, w Work, exclude []string) (Choice, bool) {
 	b.promptServices[w.Service] = b.promptServices[w.Service] || w.Tokens > 0
 	targets := b.eligible(now, w, exclude)
-	candidates := b.policy.withFetches(w, b.candidates(now, w, targets))
+	known, full := b.withoutFull(now, w, b.candidates(now, w, targets))
+	candidates := b.policy.withFetches(w, known)
 	minUnread := w.Tokens
 	for _, c := range candidates {
 		minUnread = min(minUnread, c.unread)
@@ -241,7 +247,7 @@
 	var prediction Prediction
 	bestCost := time.Duration(0)
 	consider := func(c *candidate, p Prediction) {
-		rereadTime := fromMilliseconds(float64(p.Unread-minUnread) / c.effectiveRate(now))
+		rereadTime := fromMilliseconds(float64(p.Unread-minUnread) / c.rereadRate(now))
 		cost := p.Total() + c.health.penalty(now) + Scale(rereadTime, b.policy.RereadWeight) + b.policy.stallCost(p.Stalled)
 		if minUnread > w.Tokens-sharedTokens(w) {
 			cost += b.uncachedCost(now, c.target, w, affinityID)
@@ -265,7 +271,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	choice := Choice{Target: best.Target, MinUnread: minUnread, Prediction: prediction, Pause: meanPause(now, targets)}
+	choice := Choice{Target: best.Target, Full: full, MinUnread: minUnread, Prediction: prediction, Pause: meanPause(now, targets)}
 	choice.NoPath = b.pathless(now, best.target)
 	if best.doubt.number == 0 {
 		choice.Version = best.Version()
@@ -291,6 +297,9 @@
 			out = append(out, t.reportedCandidate(w, load))
 		}
 	}
+	if len(out) == 0 {
+		out = b.unanswered(now, w, targets)
+	}
 	if len(out) > 0 {
 		return out
 	}
@@ -345,7 +354,7 @@
 		return 0
 	}
 	if b.Coordinated() && t.ID != affinityID && sharedTokens(w) >= minAffinityTokens {
-		return Scale(fromMilliseconds(float64(sharedTokens(w))/t.effectiveRate(now)), b.policy.RereadWeight)
+		return Scale(fromMilliseconds(float64(sharedTokens(w))/t.rereadRate(now)), b.policy.RereadWeight)
 	}
 	return Scale(maxUncachedCost, 1-float64(affinityWeight(t, w)>>11)/(1<<53))
 }
@@ -444,6 +453,7 @@
 	t.inFlight[f] = struct{}{}
 	t.room.recordSent(b.hosts.Self)
 	t.updateBusyPeriod(now)
+	t.updatePace(now, 0)
 	t.addParts(now, now.Add(t.readTime(now, f.backlog+float64(f.unread))), keysOf(w.Parts))
 	if b.Coordinated() {
 		t.recordStart(now, callStart{at: now, priority: w.Priority, unread: f.unread})
@@ -479,6 +489,7 @@
 	}
 	f.target.learnFirstByte(now, f)
 	f.target.updateBusyPeriod(now)
+	f.target.updatePace(now, f.unread)
 }
 
 // End records the end of a call at a target.
@@ -490,6 +501,10 @@
 	unresponsive := r == Silent && f.target.unresponsive(now)
 	delete(f.target.inFlight, f)
 	f.target.updateBusyPeriod(now)
+	f.target.updatePace(now, 0)
+	if r == Refused || r == Deferred {
+		b.recordRefusal(now, f.target.Service)
+	}
 	switch {
 	case r == Unreached:
 		b.recordNoPath(now, f.target)
--- a/internal/balance/coordinate.go
+++ b/internal/balance/coordinate.go
@@ -77,7 +77,7 @@
 		out = appendLowest(list, affinityCandidates, out, func(t *target) float64 { return -float64(affinityWeight(t, w)) })
 	}
 	return appendLowest(list, candidateCount-len(out), out, func(t *target) float64 {
-		return float64(b.jitter(t.candidate(now, w).predict(now, w).Total() + t.health.penalty(now)))
+		return float64(b.sampledCost(now, t, t.candidate(now, w).predict(now, w).Total()+t.health.penalty(now)))
 	})
 }
 
@@ -191,7 +191,8 @@
 	if t == nil {
 		return
 	}
-	if c.Share.Flights > t.peerShares[host].Flights {
+	before := t.peerShares[host]
+	if c.Share.Flights > before.Flights {
 		t.room.recordSent(host)
 	}
 	if c.Share.backlog(priorityClasses) < t.peerShares[host].backlog(priorityClasses) {
@@ -205,4 +206,9 @@
 	}
 	t.addParts(now, now.Add(t.readTime(now, t.backlog(now, priorityClasses))), c.Parts)
 	t.updateBusyPeriod(now)
+	read := 0
+	if c.Share.Flights == before.Flights && before.valid(now) { // a first byte, and no refusal
+		read = max(0, before.backlog(priorityClasses)-c.Share.backlog(priorityClasses))
+	}
+	t.updatePace(now, read)
 }
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -47,6 +47,15 @@
 	// HeededShare is the longest Retry-After that callers respect, as a share of the time
 	// left until their deadline.
 	HeededShare float64
+	// SampleSpread is how much the targets that a host of a large region queries vary, in
+	// multiples of the age of its load reports; 0 disables the sampling, so that the targets with
+	// the lowest predicted times are queried.
+	SampleSpread float64
+	// SharedPaces makes coordinators measure the reading rates of their targets for all hosts.
+	SharedPaces bool
+	// AvoidFull makes hosts send nothing to full targets that refuse calls, as long as others
+	// have free slots.
+	AvoidFull bool
 }
 
 // DefaultPolicy returns the policy of hosts that have none in their settings.
@@ -54,6 +63,7 @@
 	return Policy{
 		RereadWeight: 4, StallCostMs: 600, HoldShare: 0.4, MinFetchTokens: 1000, ListKept: true, ComfortShare: 0.5, KeeperShare: 0.95,
 		SpillLevel: DefaultSpillLevel, UrgentPauseShare: 0.6, PauseShare: 0.4, HeededShare: 1.0 / 3,
+		SampleSpread: 0.2, SharedPaces: true, AvoidFull: true,
 	}
 }
 
@@ -75,6 +85,13 @@
 	return p
 }
 
+// WithoutEvenLoad returns the policy without sampling, shared paces and avoidance of full
+// targets.
+func (p Policy) WithoutEvenLoad() Policy {
+	p.SampleSpread, p.SharedPaces, p.AvoidFull = 0, false, false
+	return p
+}
+
 // orDefault returns p, or the default policy if p is zero.
 func (p Policy) orDefault() Policy {
 	if p == (Policy{}) {
@@ -96,6 +113,7 @@
 	maxWeight      = 1000.0
 	maxStallCostMs = 60_000.0
 	maxPauseShare  = 100.0
+	maxSpread      = 100.0
 )
 
 // Check returns all invalid fields, each with its path below the given one.
@@ -113,6 +131,7 @@
 	within("UrgentPauseShare", p.UrgentPauseShare, 0, maxPauseShare)
 	within("PauseShare", p.PauseShare, 0, maxPauseShare)
 	within("HeededShare", p.HeededShare, 0, 1)
+	within("SampleSpread", p.SampleSpread, 0, maxSpread)
 	problems.Require(p.MinFetchTokens >= 0, path+".MinFetchTokens", "expected no negative number, got %d", p.MinFetchTokens)
 	problems.Require(p.UrgentPauseShare >= p.PauseShare, path+".UrgentPauseShare",
 		"expected at least PauseShare, %g, as urgent calls go first, got %g", p.PauseShare, p.UrgentPauseShare)
--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -99,6 +100,8 @@
 	// Unreached are targets that the host has no path to. They may have crashed, so hosts that have
 	// just started have their processes confirmed first.
 	Unreached []string `cbor:"8,keyasint,omitempty"`
+	// Paces are the measured reading rates of the targets in Totals; see PacesOf.
+	Paces []int `cbor:"9,keyasint,omitempty"`
 }
 
 // Share returns the state that the host reports periodically to the others of its region,
@@ -109,7 +112,9 @@
 		s.Flows[service] = flows.rates(now).rounded()
 	}
 	if b.Coordinated() {
+		b.expirePaces(now)
 		s.Totals = b.totals(now)
+		s.Paces = b.PacesOf(now, slices.Collect(maps.Keys(s.Totals)))
 		return s
 	}
 	s.Targets = map[string]TargetShare{}
@@ -162,6 +167,7 @@
 }
 
 func (b *Balancer) mergeTargets(now time.Time, host string, s Share) {
+	b.ApplyPaces(now, slices.Collect(maps.Keys(s.Totals)), s.Paces)
 	for id, total := range s.Totals {
 		if t := b.targets[id]; t != nil {
 			t.regionTotal = hostShare{TargetShare: total, at: now, ttl: shareTTL}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -33,7 +33,11 @@
 	regionTotal  hostShare
 	recentStarts []callStart
 	busyPeriod   busyPeriod
-	recentCalls  recentTimes // sends of this host
+	pace         pace
+	reportedPace reportedPace
+	// paceShared is set if the host coordinates the target and measures its pace.
+	paceShared  bool
+	recentCalls recentTimes // sends of this host
 	// backoffUntil is the end of the time for which the target has asked this host to send
 	// nothing, and peerBackoffUntil that for any other host.
 	backoffUntil     time.Time
@@ -115,6 +119,7 @@
 	t.load, t.loadAt = Load{}, time.Time{}
 	t.backoffUntil, t.peerBackoffUntil = time.Time{}, time.Time{}
 	t.limit, t.room = limitRecord{}, room{}
+	t.pace, t.reportedPace = pace{}, reportedPace{}
 	if !t.doubt.outlivesEntry(now) {
 		t.doubt, t.statedColdUntil = doubt{}, time.Time{}
 	}
@@ -195,7 +200,12 @@
 }
 
 // rate returns the target's reading rate in prompt tokens per millisecond.
-func (t *target) rate() float64 { return t.readRate.rate * t.rateFactor }
+func (t *target) rate() float64 {
+	if rate, ok := t.sharedRate(); ok {
+		return rate
+	}
+	return t.readRate.rate * t.rateFactor
+}
 
 // readTime returns how long the target takes to read the given number of prompt tokens.
 func (t *target) readTime(now time.Time, tokens float64) time.Duration {
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -46,6 +46,8 @@
 	Young []continuation.Version
 	// Loads are the loads that coordinators have just reported for this call, by target.
 	Loads map[string]TargetLoad
+	// Queried are the targets whose coordinators were queried for this call.
+	Queried []string
 }
 
 // Load is the load that a target reports with a response.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -246,12 +246,12 @@
 // decide returns where the call goes next. If that is a target, it first queries the
 // coordinators of the candidates for their current load, and decides anew with the replies.
 func (c *activeCall) decide() (balance.Decision, balance.Choice) {
-	c.work.Loads = nil
+	c.work.Loads, c.work.Queried = nil, nil
 	input, decision := c.evaluate()
 	if decision.Local && !input.Local.NoPath {
 		c.queryCoordinators()
 	}
-	if len(c.work.Loads) > 0 {
+	if len(c.work.Queried) > 0 {
 		input, decision = c.evaluate()
 	}
 	if decision.Spilled {
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -25,6 +26,8 @@
 type loadReply struct {
 	ID    uint64                        `cbor:"1,keyasint"`
 	Loads map[string]balance.TargetLoad `cbor:"2,keyasint"`
+	// Paces are the measured reading rates of the targets in Loads; see balance.Balancer.PacesOf.
+	Paces []int `cbor:"3,keyasint,omitempty"`
 }
 
 // queryCoordinators queries the coordinators of the candidate targets for the call and sets
@@ -33,6 +36,7 @@
 	g := c.gateway
 	targetsByHost, ownLoads := g.coordinators(c)
 	c.work.Loads = ownLoads
+	defer g.countUnanswered(c)
 	if len(targetsByHost) == 0 {
 		return
 	}
@@ -48,6 +52,9 @@
 		select {
 		case r := <-loads:
 			maps.Copy(c.work.Loads, r.Loads)
+			g.mu.Lock()
+			g.balancer.ApplyPaces(g.clock.Now(), slices.Collect(maps.Keys(r.Loads)), r.Paces)
+			g.mu.Unlock()
 		case <-timeout:
 			g.metrics.add("words_late_total", 1)
 			return
@@ -57,6 +64,15 @@
 	}
 }
 
+// countUnanswered counts the targets that are chosen by this host's own estimate because their
+// coordinators have not replied in time.
+func (g *Gateway) countUnanswered(c *activeCall) {
+	if n := len(c.work.Queried) - len(c.work.Loads); n > 0 {
+		g.metrics.add("load_queries_unanswered_total", int64(n))
+	}
+	g.metrics.add("load_queries_total", int64(len(c.work.Queried)))
+}
+
 // coordinators returns the candidate targets of a call by their coordinators, and the loads of
 // those that this host coordinates itself.
 func (g *Gateway) coordinators(c *activeCall) (map[string][]string, map[string]balance.TargetLoad) {
@@ -67,7 +83,8 @@
 	}
 	now := g.clock.Now()
 	targets, ownLoads := map[string][]string{}, map[string]balance.TargetLoad{}
-	for _, id := range g.balancer.Candidates(now, c.work, c.triedTargets) {
+	c.work.Queried = g.balancer.Candidates(now, c.work, c.triedTargets)
+	for _, id := range c.work.Queried {
 		host := g.balancer.CoordinatorOf(id)
 		if host != g.settings.Host {
 			targets[host] = append(targets[host], id)
@@ -89,6 +106,7 @@
 			reply.Loads[id] = load
 		}
 	}
+	reply.Paces = g.balancer.PacesOf(now, slices.Collect(maps.Keys(reply.Loads)))
 	g.mu.Unlock()
 	g.sendMessage(peerMessage{LoadReply: &reply}, g.membersByName([]string{host}))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -105,8 +105,8 @@
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
 	work := c.work
-	work.Loads = nil      // these loads date from before the attempt
-	work.NoLimited = true // admission may be denied
+	work.Loads, work.Queried = nil, nil // these loads date from before the attempt
+	work.NoLimited = true               // admission may be denied
 	choice, ok := c.gateway.balancer.Choose(now, work, exclude)
 	return ok && !slices.Contains(exclude, choice.Target.ID) && c.gateway.budget(c.service).Available(now) >= 1 &&
 		choice.Prediction.Total() < balance.Scale(c.remaining(), maxAlternativeShare)
@@ -195,6 +195,7 @@
 	c.gateway.mu.Lock()
 	a.flight = c.gateway.balancer.Begin(a.sentAt, target.ID, c.work, balance.WithFetch(choice.Fetched))
 	c.gateway.countLimitedSend(target.ID, c.sendKind())
+	c.gateway.metrics.add("full_targets_avoided_total", int64(choice.Full))
 	state, cold := c.gateway.balancer.ColdStateOf(a.sentAt, target.ID)
 	c.gateway.mu.Unlock()
 	a.admittedCold = cold
@@ -420,6 +421,7 @@
 		a.call.addStep("the refusal of target %s broke off: %v", a.choice.Target.ID, err)
 	}
 	a.call.addStep("target %s refuses with %d", a.choice.Target.ID, status)
+	a.call.gateway.metrics.add("refused_sends_total", 1)
 	if status == fasthttp.StatusMisdirectedRequest {
 		a.call.gateway.retireTarget(a.choice.Target.ID)
 	}
