internal/balance: leave the capacity of regions as hosts estimate it

Cause: measured reading rates are lower than the estimates of the hosts, so that regions would have sent work away earlier; the levels for that are stated for the estimates.

Change: capacity and the rate of a region go by the host's own estimate, as before.

Conclusion: the choice of the region is not changed by the measurement.

--- a/internal/balance/evenload_test.go
+++ b/internal/balance/evenload_test.go
@@ -86,6 +86,7 @@
 	It("predicts by the speeds that coordinators measure from the reports of all hosts", func() {
 		list := region(2, balance.DefaultPolicy())
 		other := list[hosts-1]
+		capacity := other.RegionLoad(start, serviceName).Capacity
 		for id, rate := range map[string]int{"t00": 60, "t01": 150} {
 			b := coordinator(list, id)
 			now := read(b, id, rate)
@@ -101,6 +102,8 @@
 			rates[d.ID] = d.Rate
 		}
 		Expect(rates["t01"] / rates["t00"]).To(BeNumerically("~", 2.5, 0.3))
+		// Guards against work that goes to other regions earlier than before.
+		Expect(other.RegionLoad(start, serviceName).Capacity).To(Equal(capacity))
 	})
 
 	// Guards against targets that seem fast because they refuse calls.
--- a/internal/balance/service.go
+++ b/internal/balance/service.go
@@ -142,7 +142,7 @@
 	rate := 0.0
 	for _, t := range list {
 		totalDuration += t.duration
-		rate += t.effectiveRate(now)
+		rate += t.ownRate() / t.slowdown(now)
 	}
 	s.PauseMs = int(meanPause(now, list).Milliseconds())
 	for priority := range s.WaitMs {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -204,9 +204,13 @@
 	if rate, ok := t.sharedRate(); ok {
 		return rate
 	}
-	return t.readRate.rate * t.rateFactor
+	return t.ownRate()
 }
 
+// ownRate returns the reading rate as estimated from this host's calls. The capacity of a region goes by it:
+// the levels at which work goes to other regions are stated for this estimate.
+func (t *target) ownRate() float64 { return t.readRate.rate * t.rateFactor }
+
 // readTime returns how long the target takes to read the given number of prompt tokens.
 func (t *target) readTime(now time.Time, tokens float64) time.Duration {
 	return fromMilliseconds(tokens / t.effectiveRate(now))
@@ -362,7 +366,7 @@
 // capacity returns how much work the target does per second, in the units of Flows.
 func (t *target) capacity() float64 {
 	if t.readsPrompts {
-		return t.rate() * milliseconds(time.Second)
+		return t.ownRate() * milliseconds(time.Second)
 	}
 	return float64(max(1, t.Slots)) * milliseconds(time.Second)
 }
