internal/balance: switch even load on by policy only

Change: the three fields are off by default, so that deployments are served as before; WithEvenLoad and the settings switch them on.

--- a/internal/balance/evenload_test.go
+++ b/internal/balance/evenload_test.go
@@ -57,16 +57,16 @@
 	// Guards against all hosts of a region sending to the targets that were least loaded at the last report.
 	It("spreads the queries of hosts with the same old report", func() {
 		const even = 1.0 / 20
-		sampled := balance.DefaultPolicy()
+		sampled := balance.DefaultPolicy().WithEvenLoad()
 		sampled.SampleSpread = 0.5
 		Expect(most(600*time.Millisecond, sampled)).To(BeNumerically("<", 3*even))
-		Expect(most(600*time.Millisecond, balance.DefaultPolicy().WithoutEvenLoad())).To(BeNumerically(">=", 4*even))
+		Expect(most(600*time.Millisecond, balance.DefaultPolicy())).To(BeNumerically(">=", 4*even))
 	})
 
 	It("queries the targets with the lowest predicted time while the report is new", func() {
-		sampled := balance.DefaultPolicy()
+		sampled := balance.DefaultPolicy().WithEvenLoad()
 		sampled.SampleSpread = 0.5
-		Expect(most(0, sampled)).To(Equal(most(0, sampled.WithoutEvenLoad())))
+		Expect(most(0, sampled)).To(Equal(most(0, balance.DefaultPolicy())))
 	})
 
 	// read has the hosts report prompts that the target reads one after another at the given rate.
@@ -84,7 +84,7 @@
 
 	// Guards against as much work for targets of 0.6 of the speed as for those of 1.6.
 	It("predicts by the speeds that coordinators measure from the reports of all hosts", func() {
-		list := region(2, balance.DefaultPolicy())
+		list := region(2, balance.DefaultPolicy().WithEvenLoad())
 		other := list[hosts-1]
 		capacity := other.RegionLoad(start, serviceName).Capacity
 		for id, rate := range map[string]int{"t00": 60, "t01": 150} {
@@ -108,7 +108,7 @@
 
 	// Guards against targets that seem fast because they refuse calls.
 	It("does not count refused prompts as read", func() {
-		b := coordinator(region(1, balance.DefaultPolicy()), "t00")
+		b := coordinator(region(1, balance.DefaultPolicy().WithEvenLoad()), "t00")
 		now := start
 		for i := range 200 {
 			host := names[i%hosts]
@@ -120,7 +120,7 @@
 	})
 
 	It("is readable for hosts of the build before", func() {
-		b := coordinator(region(1, balance.DefaultPolicy()), "t00")
+		b := coordinator(region(1, balance.DefaultPolicy().WithEvenLoad()), "t00")
 		data, err := cbor.Marshal(b.Share(read(b, "t00", 100)))
 		Expect(err).NotTo(HaveOccurred())
 		var before struct {
@@ -143,7 +143,7 @@
 
 	// Guards against sends to targets that other hosts have just filled.
 	DescribeTable("sends to full targets", func(refused bool, expectFull bool, full ...string) {
-		b := region(4, balance.DefaultPolicy())[0]
+		b := region(4, balance.DefaultPolicy().WithEvenLoad())[0]
 		if refused {
 			b.End(start, b.Begin(start, "t03", promptWork(10)), balance.Refused)
 		}
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -63,7 +63,6 @@
 	return Policy{
 		RereadWeight: 4, StallCostMs: 600, HoldShare: 0.4, MinFetchTokens: 1000, ListKept: true, ComfortShare: 0.5, KeeperShare: 0.95,
 		SpillLevel: DefaultSpillLevel, UrgentPauseShare: 0.6, PauseShare: 0.4, HeededShare: 1.0 / 3,
-		SampleSpread: 0.2, SharedPaces: true, AvoidFull: true,
 	}
 }
 
@@ -85,10 +84,9 @@
 	return p
 }
 
-// WithoutEvenLoad returns the policy without sampling, shared paces and avoidance of full
-// targets.
-func (p Policy) WithoutEvenLoad() Policy {
-	p.SampleSpread, p.SharedPaces, p.AvoidFull = 0, false, false
+// WithEvenLoad returns the policy with measured speeds, sampled queries and the avoidance of full targets.
+func (p Policy) WithEvenLoad() Policy {
+	p.SampleSpread, p.SharedPaces, p.AvoidFull = defaultSpread, true, true
 	return p
 }
 
@@ -108,6 +106,9 @@
 	return decoder.Decode((*plain)(p))
 }
 
+// defaultSpread is the SampleSpread of WithEvenLoad.
+const defaultSpread = 0.2
+
 // Upper bounds of policy fields.
 const (
 	maxWeight      = 1000.0
--- a/internal/bench/policy/evenload_test.go
+++ b/internal/bench/policy/evenload_test.go
@@ -12,7 +12,7 @@
 
 // evenLoad runs a cell at 0.8 of the capacity, changed as given.
 func evenLoad(way string, change func(*policy.EvenLoad)) policy.EvenLoadRow {
-	e := policy.EvenLoad{Hosts: 60, Targets: 58, AgeMs: 600, Speeds: []float64{0.6, 1, 1.6}, Load: 0.8, Way: way, Policy: balance.DefaultPolicy()}
+	e := policy.EvenLoad{Hosts: 60, Targets: 58, AgeMs: 600, Speeds: []float64{0.6, 1, 1.6}, Load: 0.8, Way: way, Policy: balance.DefaultPolicy().WithEvenLoad()}
 	change(&e)
 	row, err := e.Run(1)
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
@@ -37,7 +37,7 @@
 	// Guards against slow targets that get as much work as fast ones: their prompts make the tail.
 	It("shows earlier first tokens with targets of different speeds by the policy of hosts", func() {
 		row := evenLoad(policy.WayBalancer, func(*policy.EvenLoad) {})
-		before := evenLoad(policy.WayBalancer, func(e *policy.EvenLoad) { e.Policy = e.Policy.WithoutEvenLoad() })
+		before := evenLoad(policy.WayBalancer, func(e *policy.EvenLoad) { e.Policy = balance.DefaultPolicy() })
 		Expect(row.FirstTokenP99Ms).To(BeNumerically("<", before.FirstTokenP99Ms))
 		Expect(row.UnservedShare).To(BeNumerically("<=", before.UnservedShare))
 	})
