internal/gateway: write refusals on connections whose previous call has long ended

Cause: a call sets the write deadline of its connection and leaves it there. Ruled out: memory of connections, processes that end.

Change: both servers set a new write deadline when a request comes. A spec shows it on raw connections; it fails with an unexpected EOF on the code before.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -265,6 +265,7 @@
 
 // servePeer serves requests of other hosts. It refuses requests without a valid signature.
 func (g *Gateway) servePeer(ctx *fasthttp.RequestCtx) {
+	_ = ctx.Conn().SetWriteDeadline(g.clock.Now().Add(defaultTimeout)) // see serveCaller
 	if number := string(ctx.Request.Header.Peek(headerNumber)); number != "" {
 		defer func() { ctx.Response.Header.Set(headerNumber, number) }()
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -28,6 +28,8 @@
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx) {
+	// The write deadline of the last call on the connection has passed, so that a refusal could not be written.
+	_ = ctx.Conn().SetWriteDeadline(g.clock.Now().Add(defaultTimeout))
 	if !g.readBody(callerServer, ctx) {
 		return
 	}
