internal/balance: leave out the shared rates of targets where none are shared

Cause: the cost of reading again looked at all targets for each candidate of each decision, also with SharedPaces off, where the result is the target's own rate. The bound on ages that other hosts state stood in two packages, and a counter was locked to add zero. Change: an early return, one bound, no addition of zero.

--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -151,6 +151,9 @@
 // of the rates that coordinators have measured, if they have for most targets: by the rate of each target,
 // fast ones would read more parts again.
 func (b *Balancer) rereadRate(now time.Time, t *target) float64 {
+	if !b.policy.SharedPaces {
+		return t.effectiveRate(now) // no rate is shared, and this runs for each candidate of each decision
+	}
 	sum, known, all := 0.0, 0, b.services[t.Service]
 	for _, other := range all {
 		if rate, ok := other.sharedRate(); ok {
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -41,8 +41,8 @@
 	// peerContactAge is the age of this host's news after which it asks other hosts although no call to the store
 	// has failed: one may hang until changesTimeout. It exceeds what hosts in touch reach.
 	peerContactAge = 2500 * time.Millisecond
-	// maxContactAge bounds the ages that other hosts state: older news proves nothing, and larger numbers overflow.
-	maxContactAge = time.Hour
+	// MaxContactAge bounds the ages that other hosts state: older news proves nothing, and larger numbers overflow.
+	MaxContactAge = time.Hour
 )
 
 // FetchDifference fetches the changes after a revision from some other host.
@@ -424,7 +424,7 @@
 		return
 	}
 	f.catalogue.Merge(d)
-	if d.ContactAgeMs != nil && *d.ContactAgeMs >= 0 && *d.ContactAgeMs <= maxContactAge.Milliseconds() {
+	if d.ContactAgeMs != nil && *d.ContactAgeMs >= 0 && *d.ContactAgeMs <= MaxContactAge.Milliseconds() {
 		f.contact.record(asked.At(asked.at.Add(-time.Duration(*d.ContactAgeMs) * time.Millisecond)))
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -195,7 +195,9 @@
 	c.gateway.mu.Lock()
 	a.flight = c.gateway.balancer.Begin(a.sentAt, target.ID, c.work, balance.WithFetch(choice.Fetched))
 	c.gateway.countLimitedSend(target.ID, c.sendKind())
-	c.gateway.metrics.add("full_targets_avoided_total", int64(choice.Full))
+	if choice.Full > 0 {
+		c.gateway.metrics.add("full_targets_avoided_total", int64(choice.Full))
+	}
 	state, cold := c.gateway.balancer.ColdStateOf(a.sentAt, target.ID)
 	c.gateway.mu.Unlock()
 	a.admittedCold = cold
--- a/internal/gateway/storecontact.go
+++ b/internal/gateway/storecontact.go
@@ -52,6 +52,3 @@
 
 // ceilMs returns a duration in milliseconds, rounded up, so that ages do not become smaller on a chain of hosts.
 func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
-
-// maxStatedAgeMs bounds the ages that other hosts state: older news proves nothing, and larger numbers overflow.
-const maxStatedAgeMs = 3600 * 1000
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -188,7 +188,7 @@
 
 // asOf returns the time until which an update surely has all changes, zero if that is not known.
 func (g *Gateway) asOf(m updateMessage) time.Time {
-	if m.Heard == 0 || m.HeardIncarnation != g.started.UnixMilli() || m.AgeMs < 0 || m.AgeMs > maxStatedAgeMs {
+	if m.Heard == 0 || m.HeardIncarnation != g.started.UnixMilli() || m.AgeMs < 0 || m.AgeMs > catalogue.MaxContactAge.Milliseconds() {
 		return time.Time{}
 	}
 	g.mu.Lock()
