internal/upload: look at the head of a request before its body is read

What callers saw: with a crowd of uploads to paths without a route, or without a key that holds, ordinary requests lost the memory that these uploads took. Such an upload got its 404 or 401 only after its last byte, or 408 after 30 s.

Cause: the gateway read bodies first and looked at grammar, route and key afterwards, although the head says all of it.

Change: the read of bodies moves from internal/gateway into a package of its own, in two steps: memory for the call, then the body. Between them the gateway checks grammar, route and key. The trailer is checked after the body. If the configuration changed while a body came, the route is looked up again. A refused connection reads on for a second before it is closed, as the system otherwise resets it and the client may lose the refusal.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -149,13 +149,11 @@
 	}
 }
 
-// checkGrammar reports whether the head of a request is in the grammar of HTTP, and removes the trailer fields that
-// callers may not set. Otherwise it refuses the request, as
-// targets may read it in another way than this host.
+// checkGrammar reports whether the head of a request, and its trailer if that has been read, are in the grammar of HTTP.
+// Otherwise it refuses the request, as targets may read it in another way than this host.
 func (g *Gateway) checkGrammar(server string, ctx *fasthttp.RequestCtx) bool {
 	err := exchange.CheckRequest(&ctx.Request.Header)
 	if err == nil {
-		stripTrailer(&ctx.Request.Header, g.protocol)
 		return true
 	}
 	g.recordMalformedRequest(server, ctx, err.Error())
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -16,6 +16,8 @@
 	"github.com/sequoiarack/sequoiarack/internal/failure"
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
+	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
 // Headers between hosts.
@@ -269,13 +271,17 @@
 	if number := string(ctx.Request.Header.Peek(headerNumber)); number != "" {
 		defer func() { ctx.Response.Header.Set(headerNumber, number) }()
 	}
-	if !g.readBody(peerServer, ctx) {
+	if !g.reserveCall(peerServer, ctx) {
 		return
 	}
-	defer releaseBody(ctx)
 	if !g.checkGrammar(peerServer, ctx) {
+		upload.Refuse(ctx)
+		return
+	}
+	if !g.readBody(peerServer, ctx, memory.Control) {
 		return
 	}
+	defer releaseBody(ctx)
 	if !g.verifyRequest(&ctx.Request) {
 		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 		return
@@ -306,7 +312,7 @@
 		return
 	}
 	c := g.newActiveCall(ctx, true)
-	if c == nil {
+	if c == nil || !c.accept(ctx) {
 		return
 	}
 	senderVersion, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/quarantine"
 	"github.com/sequoiarack/sequoiarack/internal/ring"
 	"github.com/sequoiarack/sequoiarack/internal/seal"
+	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
 const (
@@ -116,8 +117,9 @@
 	coordinatorTimeout time.Duration
 
 	callers            *link.Limiter
-	exhaustionLoggedAt atomic.Int64           // Unix nanoseconds
-	memory             *memory.Budget         // of connections, calls and bodies
+	exhaustionLoggedAt atomic.Int64   // Unix nanoseconds
+	memory             *memory.Budget // of connections, calls and bodies
+	uploads            *upload.Reader
 	memoryLoggedAt     atomic.Int64           // Unix nanoseconds
 	targetPool         *exchange.Pool         // to targets
 	peerPool           *exchange.Pool         // to hosts, for calls
@@ -260,8 +262,9 @@
 	g.started = g.clock.Now()
 	g.quotas.limiter = allowance.New(s.Host, g.started)
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
-	g.memory = newMemory(s)
-	g.callers = g.newLimiter(callerServer, callerShare, link.WithMemory(memory.Share{Budget: g.memory, Kind: memory.Connections}, connectionBytes))
+	g.memory = memory.NewMachineBudget(s.MemoryMB)
+	g.uploads = upload.NewReader(g.memory, upload.WithClock(g.clock), upload.WithOnEnded(g.recordEndedUpload))
+	g.callers = g.newLimiter(callerServer, callerShare, link.WithMemory(memory.Share{Budget: g.memory, Kind: memory.Connections}, upload.ConnectionBytes))
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
 	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
@@ -329,7 +332,8 @@
 		DisablePreParseMultipartForm: true, // a form is relayed as it came
 	}
 	if name == callerServer || name == peerServer {
-		server.StreamRequestBody, server.HeaderReceived = true, g.headerReceived(name)
+		server.StreamRequestBody = true
+		server.HeaderReceived = g.uploads.HeaderReceived(func() int { return g.maxBody(name) }, headerTimeout)
 	}
 	return server
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -15,7 +15,9 @@
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/route"
+	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
 const (
@@ -30,64 +32,103 @@
 func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx) {
 	// The write deadline of the last call on the connection has passed, so that a refusal could not be written.
 	_ = ctx.Conn().SetWriteDeadline(g.clock.Now().Add(defaultTimeout))
-	if !g.readBody(callerServer, ctx) {
+	if !g.reserveCall(callerServer, ctx) {
+		return
+	}
+	c := g.readHead(ctx)
+	if c == nil {
+		upload.Refuse(ctx)
+		return
+	}
+	if !g.readBody(callerServer, ctx, memory.Bodies) {
 		return
 	}
 	defer releaseBody(ctx)
+	if c.accept(ctx) {
+		g.serveActiveCall(ctx, c)
+	}
+}
+
+// readHead returns the call of a request whose body has not been read yet. If the head shows that the call cannot be
+// served, it writes the response itself and returns nil.
+func (g *Gateway) readHead(ctx *fasthttp.RequestCtx) *activeCall {
 	if g.headerExceeds(&ctx.Request.Header) {
 		ctx.Error("the header is too long", fasthttp.StatusRequestHeaderFieldsTooLarge)
 		ctx.SetConnectionClose()
-		return
+		return nil
 	}
 	if !g.checkGrammar(callerServer, ctx) {
-		return
+		return nil
 	}
 	stripInternalHeaders(&ctx.Request.Header)
 	c := g.newActiveCall(ctx, false)
 	if c == nil {
-		return
+		return nil
 	}
 	c.identify("")
 	if r, refused := c.checkKey(); refused {
 		g.writeHostReply(ctx, r)
-		return
+		return nil
 	}
-	g.serveActiveCall(ctx, c)
+	return c
 }
 
 // newActiveCall reads the headers of a call and finds its route. Without a configuration or a
 // route that can be used it writes the response itself and returns nil.
 func (g *Gateway) newActiveCall(ctx *fasthttp.RequestCtx, fromPeer bool) *activeCall {
 	call := g.protocol.ReadCall(&ctx.Request.Header)
+	table, r := g.findRoute(ctx, call, fromPeer)
+	if r == nil {
+		return nil
+	}
+	g.protocol.StripReservedHeaders(&ctx.Request.Header)
+	c := &activeCall{gateway: g, meta: call, fromPeer: fromPeer, request: &ctx.Request}
+	c.setRoute(table, r)
+	return c
+}
+
+// findRoute returns the route of a call, in the configuration in force. If there is none that can be used, it writes the
+// response itself and returns nil.
+func (g *Gateway) findRoute(ctx *fasthttp.RequestCtx, call Call, fromPeer bool) (*route.Table, *route.Route) {
 	table := g.catalogue.Snapshot().Table
 	if table == nil {
 		g.log.Info("A call came before any configuration.", "ID", call.ID, "Received", fromPeer)
 		g.metrics.add("calls_without_configuration_total", 1)
 		g.writeHostReply(ctx, reply{status: fasthttp.StatusServiceUnavailable, outcome: core.NotRun, reason: "no configuration yet", retryAfter: g.settings.Policy.OutageRetryAfter(call.Deadline, g.random())})
-		return nil
+		return nil, nil
 	}
 	r := table.Find(call.Host, pathOf(call.Target))
 	if r == nil && table.Withholds(call.Host, pathOf(call.Target)) {
 		g.log.Info("The route of a call cannot be used.", "ID", call.ID, "Host", call.Host, "Version", table.Version(), "Received", fromPeer)
 		g.metrics.add("calls_withheld_total", 1)
 		g.writeHostReply(ctx, reply{status: fasthttp.StatusServiceUnavailable, outcome: core.NotRun, reason: "the route cannot be used", retryAfter: g.settings.Policy.OutageRetryAfter(call.Deadline, g.random())})
-		return nil
+		return nil, nil
 	}
 	if r == nil {
 		g.log.Info("A call has no route.", "ID", call.ID, "Host", call.Host, "Version", table.Version(), "NewsAgeMs", g.newsAgeMs(g.clock.Now()))
 		g.metrics.add("calls_without_route_total", 1)
 		g.writeHostReply(ctx, reply{status: fasthttp.StatusNotFound, outcome: core.NotRun, reason: "no route"})
-		return nil
+		return nil, nil
 	}
-	g.protocol.StripReservedHeaders(&ctx.Request.Header)
-	now := g.clock.Now()
-	c := &activeCall{
-		gateway: g, meta: call, fromPeer: fromPeer, newsAgeMs: g.newsAgeMs(now),
-		acceptedAt: now, arrivedAt: now, deadline: now.Add(callTimeout(call, r)), request: &ctx.Request,
+	return table, r
+}
+
+// accept begins the time of a call whose body has been read. The configuration may have changed since the head was read:
+// if that has no route for the call, accept writes the response itself and returns false.
+func (c *activeCall) accept(ctx *fasthttp.RequestCtx) bool {
+	g := c.gateway
+	if table := g.catalogue.Snapshot().Table; table.Version() != c.version {
+		table, r := g.findRoute(ctx, c.meta, c.fromPeer)
+		if r == nil {
+			return false
+		}
+		c.setRoute(table, r)
+		c.identify(c.credential)
 	}
-	c.setRoute(table, r)
-	c.digest = g.signer.Digest(ctx.Request.Header.Method(), []byte(call.Host), []byte(call.Target), ctx.Request.Body())
-	return c
+	now := g.clock.Now()
+	c.newsAgeMs, c.acceptedAt, c.arrivedAt, c.deadline = g.newsAgeMs(now), now, now, now.Add(callTimeout(c.meta, c.route))
+	c.digest = g.signer.Digest(ctx.Request.Header.Method(), []byte(c.meta.Host), []byte(c.meta.Target), ctx.Request.Body())
+	return true
 }
 
 // setRoute lets the call go by a route of a configuration.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/settings"
 )
 
@@ -126,7 +127,7 @@
 	require(s.QuotaOverage >= 0 && s.QuotaOverage <= 1, "QuotaOverage", "expected a number from 0 to 1, got %g", s.QuotaOverage)
 	require(s.QuotaWindowSeconds >= 0, "QuotaWindowSeconds", "expected no negative number, got %g", s.QuotaWindowSeconds)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
-	require(s.MemoryMB == 0 || s.MemoryMB >= minMemoryMB, "MemoryMB", "expected 0 or at least %d, got %g", minMemoryMB, s.MemoryMB)
+	require(s.MemoryMB == 0 || s.MemoryMB >= memory.MinMB, "MemoryMB", "expected 0 or at least %d, got %g", memory.MinMB, s.MemoryMB)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	return append(problems, s.Policy.Check("Policy")...)
 }
--- a/internal/link/limiter.go
+++ b/internal/link/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -201,6 +202,7 @@
 		c.leaveIdle()
 		c.evicted, c.readsHead = false, true
 	case fasthttp.StateIdle:
+		c.lingers.Store(false) // the body has been read
 		c.enterIdle()
 	}
 }
@@ -275,6 +277,7 @@
 	// blockedSince is when a call of Read or Write began that has not returned, 0 if there is none.
 	blockedSince atomic.Int64 // Unix nanoseconds
 	writes       atomic.Bool  // that call is of Write
+	lingers      atomic.Bool
 }
 
 // past is a deadline that has passed.
@@ -352,8 +355,35 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+const (
+	// A connection that lingers reads up to lingerBytes before it is closed, for lingerTime at most.
+	lingerBytes = 4 << 20
+	lingerTime  = time.Second
+)
+
+// Linger makes a connection of a Limiter read on when it is closed, until its peer has closed it too. Otherwise the
+// system resets a connection with unread bytes, and the peer may not get the last response. Other connections are left as
+// they are.
+func Linger(c net.Conn) {
+	if limited, ok := c.(*limitedConn); ok {
+		limited.lingers.Store(true)
+	}
+}
+
+// linger ends the sending side of the connection and reads what the peer still sends.
+func (c *limitedConn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(c.limiter.clock.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c, lingerBytes) // ends with an error when the peer closes
+}
+
 // Close closes the connection.
 func (c *limitedConn) Close() error {
+	if c.lingers.Swap(false) {
+		c.linger()
+	}
 	l := c.limiter
 	l.mu.Lock()
 	c.leaveIdle()
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -44,6 +44,17 @@
 	longTime = 10 * time.Second
 )
 
+const (
+	// programMB is the memory of a program and its tables. budgetShare is the part of the rest that connections, calls
+	// and bodies may use; what remains is for garbage until it is collected.
+	programMB   = 40
+	budgetShare = 0.6
+	bytesPerMB  = 1_000_000
+	// DefaultMB is the memory of a machine that is not known, in millions of bytes, and MinMB the least.
+	DefaultMB = 4096
+	MinMB     = 64
+)
+
 // shares are the parts of the memory that the kinds may use at most.
 var shares = [kinds]float64{Connections: 0.5, Calls: 1, Bodies: 0.6, Responses: 0.25, Control: 0.5}
 
@@ -59,6 +70,15 @@
 // NewBudget returns a Budget of a number of bytes.
 func NewBudget(total int) *Budget { return &Budget{total: total} }
 
+// NewMachineBudget returns the Budget of a process on a machine with memory of mb millions of bytes, 0 if that is not
+// known.
+func NewMachineBudget(mb float64) *Budget {
+	if mb == 0 {
+		mb = DefaultMB
+	}
+	return NewBudget(int(budgetShare * (mb - programMB) * bytesPerMB))
+}
+
 // Use is how much of a Budget is used.
 type Use struct {
 	Total   int
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -20,7 +20,7 @@
 	BeforeEach(func() { budget, ended = memory.NewBudget(total), nil })
 	// begin starts an upload that holds n bytes and is in progress.
 	begin := func(name string, ms, n int) *memory.Upload {
-		u := budget.Begin(memory.Bodies, at(ms), at(ms), func() { ended = append(ended, name) })
+		u := budget.Begin(memory.Origin{Kind: memory.Bodies, BeganAt: at(ms)}, at(ms), func() { ended = append(ended, name) })
 		Expect(u.Grow(at(ms), n).Apply()).To(BeTrue())
 		return u
 	}
@@ -29,7 +29,7 @@
 		Expect(budget.Reserve(memory.Connections, 501)).To(BeFalse())
 		Expect(budget.Reserve(memory.Connections, 500)).To(BeTrue())
 		Expect(budget.Reserve(memory.Responses, 250)).To(BeTrue())
-		Expect(budget.Begin(memory.Bodies, start, start, func() {}).Grow(start, 160).Apply()).To(BeFalse())
+		Expect(budget.Begin(memory.Origin{Kind: memory.Bodies, BeganAt: start}, start, func() {}).Grow(start, 160).Apply()).To(BeFalse())
 		Expect(budget.ReserveCall(start, 250).Apply()).To(BeTrue())
 		Expect(budget.ReserveCall(start, 1).Apply()).To(BeFalse())
 		budget.Release(memory.Responses, 250)
@@ -66,7 +66,7 @@
 	It("ends no upload that is complete, and counts it until it is released", func() {
 		u := begin("old", 0, 600)
 		Expect(u.Complete()).To(BeTrue())
-		next := budget.Begin(memory.Bodies, at(20_000), at(20_000), func() {})
+		next := budget.Begin(memory.Origin{Kind: memory.Bodies, BeganAt: at(20_000)}, at(20_000), func() {})
 		Expect(next.Grow(at(20_000), 50).Apply()).To(BeFalse())
 		u.Release()
 		u.Release()
@@ -87,12 +87,12 @@
 		for n := range 6 {
 			begin("caller", n, 100)
 		}
-		peer := budget.Begin(memory.Control, at(10), at(10), func() {})
+		peer := budget.Begin(memory.Origin{Kind: memory.Control, BeganAt: at(10)}, at(10), func() {})
 		Expect(peer.Grow(at(10), 100).Apply()).To(BeTrue())
 		Expect(ended).To(BeEmpty())
 		Expect(peer.Grow(at(1500), 100).Apply()).To(BeTrue())
 		Expect(ended).To(Equal([]string{"caller"}))
-		other := budget.Begin(memory.Control, at(1500), at(1500), func() {})
+		other := budget.Begin(memory.Origin{Kind: memory.Control, BeganAt: at(1500)}, at(1500), func() {})
 		Expect(other.Grow(at(1500), 301).Apply()).To(BeFalse())
 		Expect(ended).To(HaveLen(1), "ending callers would not help")
 	})
@@ -101,7 +101,7 @@
 		first := begin("first", 0, 100)
 		begin("second", 0, 100)
 		begin("third", 1000, 400)
-		next := budget.Begin(memory.Bodies, at(2000), at(2000), func() {})
+		next := budget.Begin(memory.Origin{Kind: memory.Bodies, BeganAt: at(2000)}, at(2000), func() {})
 		Expect(next.Grow(at(1500), 100).Apply()).To(BeTrue())
 		Expect(next.Grow(at(1500), 100).Apply()).To(BeFalse())
 		Expect(first.Grow(at(1500), 1).Granted).To(BeFalse(), "it was told to end")
@@ -127,7 +127,7 @@
 				}
 				switch rapid.IntRange(0, 5).Draw(t, "step") {
 				case 0:
-					uploads = append(uploads, b.Begin(rapid.SampledFrom([]memory.Kind{memory.Bodies, memory.Control}).Draw(t, "kind"), now, now, func() {}))
+					uploads = append(uploads, b.Begin(memory.Origin{Kind: rapid.SampledFrom([]memory.Kind{memory.Bodies, memory.Control}).Draw(t, "kind"), BeganAt: now}, now, func() {}))
 				case 1:
 					pick(func(i int) { uploads[i].Grow(now, n).Apply() })
 				case 2:
--- a/internal/memory/upload.go
+++ b/internal/memory/upload.go
@@ -44,10 +44,17 @@
 	return d.Granted
 }
 
-// Begin adds an upload of a kind that began at a time and holds nothing. Function interrupt must make its reader fail; the upload
+// Origin is what an upload is.
+type Origin struct {
+	Kind Kind
+	// BeganAt is when the head of the request came.
+	BeganAt time.Time
+}
+
+// Begin adds an upload that holds nothing. Function interrupt must make its reader fail; the upload
 // holds its memory until Release.
-func (b *Budget) Begin(kind Kind, beganAt, now time.Time, interrupt func()) *Upload {
-	u := &Upload{budget: b, kind: kind, interrupt: interrupt, beganAt: beganAt, progressAt: now}
+func (b *Budget) Begin(o Origin, now time.Time, interrupt func()) *Upload {
+	u := &Upload{budget: b, kind: o.Kind, interrupt: interrupt, beganAt: o.BeganAt, progressAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.uploads = append(b.uploads, u)
