internal/memory: share memory among the senders of uploads

What callers saw: beside 80 clients at one address, or with one key, that come again and again with unfinished bodies of 4 MiB, callers with bodies of 1 MiB got 503 for want of memory, mostly at once.

Cause: uploads ended in the order of their progress and age only. The crowd's newer uploads took the place of those that had ended, and what a sender held otherwise was not looked at.

Change: an upload has a source, the workspace of its key or else its address. When memory is short, the uploads of the source that holds most end first, if it has several and holds more than the one that asks. A source that holds more than others only ends uploads of its own. The only upload of a source keeps its place by progress and age as before: if the largest always ended, long uploads would never be complete while newer ones come.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -278,7 +278,7 @@
 		upload.Refuse(ctx)
 		return
 	}
-	if !g.readBody(peerServer, ctx, memory.Control) {
+	if !g.readBody(peerServer, ctx, memory.Control, ctx.RemoteIP().String()) {
 		return
 	}
 	defer releaseBody(ctx)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -40,7 +40,7 @@
 		upload.Refuse(ctx)
 		return
 	}
-	if !g.readBody(callerServer, ctx, memory.Bodies) {
+	if !g.readBody(callerServer, ctx, memory.Bodies, c.source(ctx)) {
 		return
 	}
 	defer releaseBody(ctx)
@@ -131,6 +131,14 @@
 	return true
 }
 
+// source returns who sends the call, for the shares of the memory: its workspace, or else its address.
+func (c *activeCall) source(ctx *fasthttp.RequestCtx) string {
+	if c.workspace != nil {
+		return "workspace " + c.workspace.Name
+	}
+	return ctx.RemoteIP().String()
+}
+
 // setRoute lets the call go by a route of a configuration.
 func (c *activeCall) setRoute(table *route.Table, r *route.Route) {
 	c.route, c.version, c.service = r.For(c.workspace), table.Version(), r.PickService(c.meta.ID)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -42,9 +42,9 @@
 
 // readBody reads the body of a request, within the budget of the host's memory. Otherwise it writes the response and
 // returns false.
-func (g *Gateway) readBody(server string, ctx *fasthttp.RequestCtx, kind memory.Kind) bool {
+func (g *Gateway) readBody(server string, ctx *fasthttp.RequestCtx, kind memory.Kind, source string) bool {
 	isChunked := ctx.Request.Header.ContentLength() == -1
-	err := g.uploads.Read(ctx, memory.Origin{Kind: kind, BeganAt: g.clock.Now()}, g.maxBody(server))
+	err := g.uploads.Read(ctx, memory.Origin{Kind: kind, Source: source, BeganAt: g.clock.Now()}, g.maxBody(server))
 	if kind, _ := failure.KindOf[upload.Kind](err); err != nil && kind == upload.NoMemory {
 		return g.refuseForMemory(server, ctx, "body", true)
 	}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -63,12 +63,16 @@
 	mu      sync.Mutex
 	total   int
 	used    [kinds]int
-	uploads []*Upload // unfinished ones, in the order in which they began
-	ending  int       // bytes of uploads that have been told to end
+	uploads []*Upload          // unfinished ones, in the order in which they began
+	ending  int                // bytes of uploads that have been told to end
+	sources map[string]holding // by source, of uploads that have not been told to end
 }
 
+// holding is what the uploads of a source hold, those that are complete included.
+type holding struct{ bytes, uploads int }
+
 // NewBudget returns a Budget of a number of bytes.
-func NewBudget(total int) *Budget { return &Budget{total: total} }
+func NewBudget(total int) *Budget { return &Budget{total: total, sources: map[string]holding{}} }
 
 // NewMachineBudget returns the Budget of a process on a machine with memory of mb millions of bytes, 0 if that is not
 // known.
@@ -85,13 +89,14 @@
 	Bytes   map[Kind]int
 	Uploads int // unfinished ones
 	Ending  int // bytes of uploads that have been told to end
+	Sources int // that have uploads
 }
 
 // Use returns how much of the budget is used.
 func (b *Budget) Use() Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u := Use{Total: b.total, Bytes: map[Kind]int{}, Uploads: len(b.uploads), Ending: b.ending}
+	u := Use{Total: b.total, Bytes: map[Kind]int{}, Uploads: len(b.uploads), Ending: b.ending, Sources: len(b.sources)}
 	for k, n := range b.used {
 		u.Bytes[Kind(k)] = n
 	}
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -25,6 +25,12 @@
 		return u
 	}
 
+	beginFrom := func(source, name string, ms, n int) *memory.Upload {
+		u := budget.Begin(memory.Origin{Kind: memory.Bodies, Source: source, BeganAt: at(ms)}, at(ms), func() { ended = append(ended, name) })
+		Expect(u.Grow(at(ms), n).Apply()).To(BeTrue())
+		return u
+	}
+
 	It("keeps each kind within its share, and a reserve for calls and other hosts", func() {
 		Expect(budget.Reserve(memory.Connections, 501)).To(BeFalse())
 		Expect(budget.Reserve(memory.Connections, 500)).To(BeTrue())
@@ -74,6 +80,43 @@
 		Expect(ended).To(BeEmpty())
 	})
 
+	// The next ones guard against a source that takes the memory which all others need.
+	It("ends uploads of the source that holds most, its newest first", func() {
+		beginFrom("crowd", "first", 0, 200)
+		beginFrom("crowd", "second", 10, 200)
+		beginFrom("crowd", "third", 20, 100)
+		beginFrom("pair", "fourth", 30, 50)
+		beginFrom("pair", "fifth", 40, 50)
+		beginFrom("one", "sixth", 50, 100)
+		Expect(ended).To(Equal([]string{"third"}))
+	})
+
+	It("does not end uploads of others for a source that holds more", func() {
+		beginFrom("one", "first", 0, 100)
+		beginFrom("crowd", "second", 100, 250)
+		u := beginFrom("crowd", "third", 200, 250)
+		Expect(u.Grow(at(900), 50).Apply()).To(BeFalse(), "it is the newest of its source")
+		Expect(u.Grow(at(1200), 50).Apply()).To(BeFalse(), "the other one of its source is too large to be ended")
+		Expect(ended).To(BeEmpty(), "although the first one has stalled")
+	})
+
+	It("counts what complete uploads of a source hold", func() {
+		Expect(beginFrom("crowd", "first", 0, 450).Complete()).To(BeTrue())
+		beginFrom("crowd", "second", 10, 50)
+		beginFrom("pair", "third", 20, 50)
+		beginFrom("pair", "fourth", 30, 50)
+		beginFrom("one", "fifth", 40, 50)
+		Expect(ended).To(Equal([]string{"second"}))
+	})
+
+	// Guards against long uploads that never end, as each newer one takes their memory.
+	It("does not end the only upload of a source because it holds much", func() {
+		beginFrom("a", "first", 0, 300)
+		u := beginFrom("b", "second", 10, 250)
+		Expect(u.Grow(at(20), 100).Apply()).To(BeFalse())
+		Expect(ended).To(BeEmpty())
+	})
+
 	It("ends uploads for calls", func() {
 		Expect(budget.Reserve(memory.Connections, 400)).To(BeTrue())
 		begin("old", 0, 100)
@@ -127,7 +170,7 @@
 				}
 				switch rapid.IntRange(0, 5).Draw(t, "step") {
 				case 0:
-					uploads = append(uploads, b.Begin(memory.Origin{Kind: rapid.SampledFrom([]memory.Kind{memory.Bodies, memory.Control}).Draw(t, "kind"), BeganAt: now}, now, func() {}))
+					uploads = append(uploads, b.Begin(memory.Origin{Kind: rapid.SampledFrom([]memory.Kind{memory.Bodies, memory.Control}).Draw(t, "kind"), Source: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "source"), BeganAt: now}, now, func() {}))
 				case 1:
 					pick(func(i int) { uploads[i].Grow(now, n).Apply() })
 				case 2:
@@ -158,7 +201,7 @@
 			}
 			b.Release(memory.Calls, calls)
 			for kind, bytes := range b.Use().Bytes {
-				if bytes != 0 || b.Use().Ending != 0 || b.Use().Uploads != 0 {
+				if bytes != 0 || b.Use().Ending != 0 || b.Use().Uploads != 0 || b.Use().Sources != 0 {
 					t.Fatalf("%s: %+v", kind, b.Use())
 				}
 			}
--- a/internal/memory/upload.go
+++ b/internal/memory/upload.go
@@ -9,11 +9,13 @@
 type Upload struct {
 	budget     *Budget
 	kind       Kind
+	source     string
 	interrupt  func()
 	held       int
 	beganAt    time.Time
 	progressAt time.Time
 	reason     Reason
+	released   bool
 }
 
 // Reason is why an upload had to make room for others.
@@ -44,9 +46,11 @@
 	return d.Granted
 }
 
-// Origin is what an upload is.
+// Origin is what an upload is, and who sends it.
 type Origin struct {
 	Kind Kind
+	// Source is the workspace or the address of the sender. Sources that hold more make room for those that hold less.
+	Source string
 	// BeganAt is when the head of the request came.
 	BeganAt time.Time
 }
@@ -54,10 +58,11 @@
 // Begin adds an upload that holds nothing. Function interrupt must make its reader fail; the upload
 // holds its memory until Release.
 func (b *Budget) Begin(o Origin, now time.Time, interrupt func()) *Upload {
-	u := &Upload{budget: b, kind: o.Kind, interrupt: interrupt, beganAt: o.BeganAt, progressAt: now}
+	u := &Upload{budget: b, kind: o.Kind, source: o.Source, interrupt: interrupt, beganAt: o.BeganAt, progressAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.uploads = append(b.uploads, u)
+	b.hold(u.source, 0, 1)
 	return u
 }
 
@@ -81,6 +86,7 @@
 	d := b.reserve(now, u.kind, n, u)
 	if d.Granted {
 		u.held += n
+		b.hold(u.source, n, 0)
 	}
 	return d
 }
@@ -97,9 +103,20 @@
 	u.held -= n
 	if u.reason != None {
 		u.budget.ending -= n
-	} else {
-		u.budget.used[u.kind] -= n
+		return
 	}
+	u.budget.used[u.kind] -= n
+	u.budget.hold(u.source, -n, 0)
+}
+
+// hold adds bytes and uploads to what a source holds.
+func (b *Budget) hold(source string, bytes, uploads int) {
+	h := b.sources[source]
+	if h = (holding{bytes: h.bytes + bytes, uploads: h.uploads + uploads}); h == (holding{}) {
+		delete(b.sources, source)
+		return
+	}
+	b.sources[source] = h
 }
 
 // Complete records that the body is complete: the upload holds its memory until Release. It returns false if the
@@ -117,6 +134,10 @@
 	defer u.budget.mu.Unlock()
 	u.budget.forget(u)
 	u.give(u.held)
+	if !u.released && u.reason == None {
+		u.budget.hold(u.source, 0, -1)
+	}
+	u.released = true
 }
 
 // Ended returns why the upload has been told to end, None if it has not.
@@ -138,12 +159,13 @@
 func (b *Budget) reserve(now time.Time, kind Kind, n int, by *Upload) Decision {
 	var d Decision
 	for !b.fits(kind, n) {
-		u, reason := b.nextToEnd(now, kind, b.inShare(kind, n))
+		u, reason := nextToEnd(now, b.candidates(kind, n, by))
 		if u == nil || u == by || float64(b.ending+u.held) > overdraftShare*float64(b.total) {
 			return d
 		}
 		u.reason = reason
 		b.used[u.kind] -= u.held
+		b.hold(u.source, -u.held, -1)
 		b.ending += u.held
 		b.forget(u)
 		d.End = append(d.End, u)
@@ -153,30 +175,57 @@
 	return d
 }
 
-// nextToEnd returns the unfinished upload that ends first when memory is short: the one that has made no progress
-// for the longest time, then the one that has been unfinished for the longest time, then the newest. Unless others help
-// too, it is of the kind for which memory is short.
-func (b *Budget) nextToEnd(now time.Time, kind Kind, othersHelp bool) (*Upload, Reason) {
-	var stalled, oldest, newest *Upload
+// candidates returns the unfinished uploads of which one is to end for n bytes of a kind, oldest first. If a source with
+// several uploads holds more than the upload that asks would hold with its source, they are those of the source that
+// holds most. Else they are those of the source of the upload that asks, or all if that source has no other. Unless
+// others help too, they are of the kind for which memory is short.
+func (b *Budget) candidates(kind Kind, n int, by *Upload) []*Upload {
+	othersHelp := b.inShare(kind, n)
+	var all []*Upload
+	var heaviest *Upload
+	most, hasOther := 0, false
+	if by != nil {
+		most = b.sources[by.source].bytes + n
+	}
 	for _, u := range b.uploads {
 		if u.held == 0 || u.kind != kind && !othersHelp {
 			continue
 		}
-		newest = u
-		if oldest == nil {
-			oldest = u
+		all = append(all, u)
+		isOwn := by != nil && u.source == by.source
+		hasOther = hasOther || isOwn && u != by
+		if h := b.sources[u.source]; !isOwn && h.uploads > 1 && h.bytes > most {
+			heaviest, most = u, h.bytes
 		}
+	}
+	if heaviest == nil && hasOther {
+		heaviest = by
+	}
+	if heaviest == nil {
+		return all
+	}
+	return slices.DeleteFunc(all, func(u *Upload) bool { return u.source != heaviest.source })
+}
+
+// nextToEnd returns the upload that ends first: the one that has made no progress
+// for the longest time, then the one that has been unfinished for the longest time, then the newest.
+func nextToEnd(now time.Time, uploads []*Upload) (*Upload, Reason) {
+	var stalled *Upload
+	for _, u := range uploads {
 		if now.Sub(u.progressAt) >= stallTime && (stalled == nil || u.progressAt.Before(stalled.progressAt)) {
 			stalled = u
 		}
 	}
-	if stalled != nil {
+	switch {
+	case len(uploads) == 0:
+		return nil, None
+	case stalled != nil:
 		return stalled, Stalled
+	case now.Sub(uploads[0].beganAt) >= longTime:
+		return uploads[0], Long
+	default:
+		return uploads[len(uploads)-1], Newest
 	}
-	if oldest != nil && now.Sub(oldest.beganAt) >= longTime {
-		return oldest, Long
-	}
-	return newest, Newest
 }
 
 // forget removes an upload from the unfinished ones.
