internal/gateway: read bodies at the address for other hosts by a signed head

What callers saw: while a crowd without the fleet's key sent unfinished bodies to the address for other hosts, calls that another host forwarded there got 503.

Cause: whether a host has sent a request was known only after its body, which the signature covers. All bodies there took memory of hosts.

Change: hosts sign the head too (Gateway-Head-Signature). A body whose head is signed takes memory of hosts, any other that of callers, with the address of its sender as source; one without any signature is refused by its head. The signature of the whole request is checked as before. Hosts of builds before ignore the new header; what they send still passes, within the memory of callers.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/memory"
+	"github.com/sequoiarack/sequoiarack/internal/seal"
 	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
@@ -278,7 +279,16 @@
 		upload.Refuse(ctx)
 		return
 	}
-	if !g.readBody(peerServer, ctx, memory.Control, ctx.RemoteIP().String()) {
+	if len(ctx.Request.Header.Peek(core.HeaderSignature)) != seal.SignatureDigits {
+		upload.Refuse(ctx)
+		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
+		return
+	}
+	kind := memory.Bodies // the sender may be no host
+	if g.verifyHead(&ctx.Request) {
+		kind = memory.Control
+	}
+	if !g.readBody(peerServer, ctx, kind, ctx.RemoteIP().String()) {
 		return
 	}
 	defer releaseBody(ctx)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,11 +24,27 @@
 	maxPeerResponseBytes = 16 << 20
 )
 
-// signRequest signs a request to another host: its method, URI, internal headers and body.
+// headerHeadSignature is the signature of the head of a request, by which a host decides how to read the body. Hosts of
+// builds without it sign the whole request only.
+const headerHeadSignature = "Gateway-Head-Signature"
+
+// signRequest signs a request to another host: its head, and its method, URI, internal headers and body.
 func (g *Gateway) signRequest(request *fasthttp.Request) {
+	request.Header.Set(headerHeadSignature, g.signer.Sign(signedHead(request)...))
 	request.Header.Set(core.HeaderSignature, g.signer.Sign(signedParts(request)...))
 }
 
+// verifyHead reports whether a host of the fleet has signed the head of a request.
+func (g *Gateway) verifyHead(request *fasthttp.Request) bool {
+	return g.signer.Verify(string(request.Header.Peek(headerHeadSignature)), signedHead(request)...)
+}
+
+// signedHead returns the parts of a request that the signature of its head covers.
+func signedHead(request *fasthttp.Request) [][]byte {
+	h := &request.Header
+	return [][]byte{[]byte(headerHeadSignature), h.Method(), h.RequestURI(), h.Peek(core.HeaderPassed), h.Peek(core.HeaderVersion), h.Peek(headerCredential)}
+}
+
 func (g *Gateway) verifyRequest(request *fasthttp.Request) bool {
 	return g.signer.Verify(string(request.Header.Peek(core.HeaderSignature)), signedParts(request)...)
 }
