internal/daemon: keep the bodies of callers within the memory of the machine

What callers saw: a process of "sequoiarack serve" ended by its machine, with all calls in it: 60 clients with bodies of 4 MiB that stop short of their end took it to 269 MB, complete ones to 430 MB, 240 announcements to 1,029 MB.

Cause: the server read up to 8 MiB for each request before the handler looked at it, copied the body for each call, and knew no sum.

Change: the daemon reads bodies as the gateway does, with internal/upload and internal/memory, after the key, the path, the service, the residency and the drain have been checked by the head; if the configuration changed meanwhile, they are checked again. Requests of other hosts have their heads signed, those of operators are read as control. The setting MemoryMB gives the memory of the machine (default: not known, 4096), which also bounds the garbage collector. The fields "messages" and "prompt" are no longer copied to see whether they are there. Requests that take too long get 408 instead of 400.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -15,7 +14,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-	"golang.org/x/sys/unix"
 
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/gateway"
@@ -55,42 +53,8 @@
 	}
 }
 
-// gcPercent is the garbage collector's target percentage (GOGC). It is below the
-// default of 100 because entry hosts are small: memory costs them more than
-// processor time.
-const gcPercent = 40
-
-const (
-	// memoryShare is the part of the machine's memory beyond which the garbage collector
-	// works as hard as it must. The budget of the gateway is lower.
-	memoryShare = 0.7
-	// textMB is the memory of the program's text, which the collector does not count.
-	textMB     = 15
-	bytesPerMB = 1_000_000
-)
-
-// memoryLimit returns the bytes beyond which the garbage collector works as hard as it must, 0 for none.
-func memoryLimit(s gateway.Settings) int64 {
-	if s.MemoryMB > 0 {
-		return int64(memoryShare * (s.MemoryMB - textMB) * bytesPerMB)
-	}
-	return int64(memoryShare * float64(machineMemory()))
-}
-
-// machineMemory returns the memory of the machine in bytes, 0 if the system does not tell.
-func machineMemory() uint64 {
-	var info unix.Sysinfo_t
-	if err := unix.Sysinfo(&info); err != nil {
-		return 0
-	}
-	return info.Totalram * uint64(info.Unit)
-}
-
 func runGateway(ctx context.Context, o *outputs, path string, s gateway.Settings) error {
-	debug.SetGCPercent(gcPercent)
-	if limit := memoryLimit(s); limit > 0 {
-		debug.SetMemoryLimit(limit)
-	}
+	limitMemory(s.MemoryMB)
 	sink := logsink.New(o.out)
 	logCtx, stopLogging := context.WithCancel(context.Background())
 	logDone := make(chan error, 1)
--- a/cmd/sequoiarack/cmd/serve.go
+++ b/cmd/sequoiarack/cmd/serve.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	defer flush()
+	limitMemory(float64(s.MemoryMB))
 	d, err := daemon.New(s, daemon.WithLogger(log))
 	if err != nil {
 		return err
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/config"
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/dispatch"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
 	"github.com/sequoiarack/sequoiarack/internal/residency"
 )
@@ -27,6 +28,7 @@
 	index          *config.Index
 	workspace      string
 	caller         string
+	kind           config.ServiceKind
 	serviceName    string
 	service        config.Service
 	dataClass      string
@@ -59,15 +61,25 @@
 )
 
 type modelRequest struct {
-	Model     string          `json:"model"`
-	Stream    bool            `json:"stream"`
-	MaxTokens int             `json:"max_tokens"`
-	Messages  json.RawMessage `json:"messages"`
-	Prompt    json.RawMessage `json:"prompt"`
+	Model     string   `json:"model"`
+	Stream    bool     `json:"stream"`
+	MaxTokens int      `json:"max_tokens"`
+	Messages  presence `json:"messages"`
+	Prompt    presence `json:"prompt"`
+}
+
+// presence reports whether a field is present. Its value is not copied.
+type presence bool
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *presence) UnmarshalJSON([]byte) error {
+	*p = true
+	return nil
 }
 
 // parseCall parses, authenticates and checks a request. A call that another host
-// has forwarded names its caller, whom that host has authenticated.
+// has forwarded names its caller, whom that host has authenticated. The body of any other call is read once the head
+// has shown that the call may be served.
 func (d *Daemon) parseCall(ctx *fasthttp.RequestCtx, received bool) (*call, *core.Refusal) {
 	state := d.feed.State()
 	header := &ctx.Request.Header
@@ -76,8 +88,8 @@
 		hops:      core.ParseHops(string(header.Peek(core.HeaderPassed))),
 		dataClass: string(header.Peek(core.HeaderDataClass)),
 		method:    string(ctx.Method()), path: string(ctx.RequestURI()),
-		contentType: string(header.ContentType()), body: slices.Clone(ctx.PostBody()),
-		keyText: string(header.Peek(core.HeaderIdempotencyKey)), firstSend: len(header.Peek(headerFirstSend)) > 0,
+		contentType: string(header.ContentType()),
+		keyText:     string(header.Peek(core.HeaderIdempotencyKey)), firstSend: len(header.Peek(headerFirstSend)) > 0,
 		sentByIssuer: received && len(header.Peek(headerKeySpent)) > 0,
 		arrived:      d.clock.Now(), timeout: time.Duration(state.Index.Document.Limits.CallTimeoutSec) * time.Second,
 	}
@@ -87,14 +99,13 @@
 	if state.Version == 0 {
 		return c, refusal(fasthttp.StatusServiceUnavailable, core.ReasonNotReady, "the host has no configuration yet").WithRetryAfter(1)
 	}
-	if refusal := d.authenticateCaller(ctx, c); refusal != nil {
+	if refusal := d.checkHead(ctx, c); refusal != nil {
 		return c, refusal
 	}
-	if len(c.body) > c.index.Document.Limits.MaxBodyBytes {
-		return c, refusal(fasthttp.StatusRequestEntityTooLarge, core.ReasonBodyTooLarge,
-			fmt.Sprintf("the body has %d bytes, expected at most %d", len(c.body), c.index.Document.Limits.MaxBodyBytes))
+	if refusal := d.limitRate(c); refusal != nil {
+		return c, refusal
 	}
-	if refusal := d.resolveService(ctx, c); refusal != nil {
+	if refusal := d.readCallBody(ctx, c); refusal != nil {
 		return c, refusal
 	}
 	if refusal := d.parseKey(c); refusal != nil {
@@ -103,6 +114,72 @@
 	return c, d.applyDeadline(ctx, c)
 }
 
+// checkHead checks what the head of a call tells: its caller, its path, and whether its data may be in this region.
+func (d *Daemon) checkHead(ctx *fasthttp.RequestCtx, c *call) *core.Refusal {
+	if refusal := d.authenticateCaller(ctx, c); refusal != nil {
+		return refusal
+	}
+	if refusal := d.resolveService(ctx, c); refusal != nil {
+		return refusal
+	}
+	if !residency.MayHold(c.index, c.workspace, c.dataClass, d.settings.Region) {
+		return refusal(fasthttp.StatusMisdirectedRequest, core.ReasonWrongRegion, "the data may not be in this region; use a host of another one")
+	}
+	return nil
+}
+
+// limitRate applies the rate limit of the workspace to a call that no other host has forwarded.
+func (d *Daemon) limitRate(c *call) *core.Refusal {
+	if c.received {
+		return nil
+	}
+	if after, ok := d.limiters.allow(c.workspace, c.arrived); !ok {
+		return refusal(fasthttp.StatusTooManyRequests, core.ReasonRateLimited, "the workspace's rate is used up").WithRetryAfter(after)
+	}
+	return nil
+}
+
+// readCallBody sets the body of a call, and the service of a call of a model, which the body names.
+func (d *Daemon) readCallBody(ctx *fasthttp.RequestCtx, c *call) *core.Refusal {
+	if refusal := d.receiveCallBody(ctx, c); refusal != nil {
+		return refusal
+	}
+	limit := c.index.Document.Limits.MaxBodyBytes
+	if c.body = ctx.Request.Body(); len(c.body) > limit {
+		return refusal(fasthttp.StatusRequestEntityTooLarge, core.ReasonBodyTooLarge, fmt.Sprintf("the body has %d bytes, expected at most %d", len(c.body), limit))
+	}
+	if c.kind != config.KindModel {
+		return nil
+	}
+	if refusal := c.readModelRequest(); refusal != nil {
+		return refusal
+	}
+	return d.findService(c)
+}
+
+// receiveCallBody reads the body of a call that no other host has forwarded. If the configuration has changed meanwhile,
+// it checks the head again.
+func (d *Daemon) receiveCallBody(ctx *fasthttp.RequestCtx, c *call) *core.Refusal {
+	if c.received {
+		return nil // it was read to check the signature
+	}
+	if d.draining.Load() {
+		return d.leavingRefusal()
+	}
+	if refusal := d.reserveCall(ctx); refusal != nil {
+		return refusal
+	}
+	if refusal := d.readBody(ctx, memory.Bodies, "workspace "+c.workspace, c.index.Document.Limits.MaxBodyBytes); refusal != nil {
+		return refusal
+	}
+	c.arrived = d.clock.Now()
+	if state := d.feed.State(); state.Version != c.index.Version {
+		c.index = state.Index
+		return d.checkHead(ctx, c)
+	}
+	return nil
+}
+
 const maxIDBytes = 128
 
 // validID accepts identifiers that are safe in headers and paths.
@@ -122,8 +199,7 @@
 	return &core.Refusal{Status: status, Reason: reason, Message: message, Outcome: core.NotRun}
 }
 
-// authenticateCaller sets the caller and its workspace, and applies the workspace's
-// rate limit. Of a forwarded call it checks only that the caller is known.
+// authenticateCaller sets the caller and its workspace. Of a forwarded call it checks only that the caller is known.
 func (d *Daemon) authenticateCaller(ctx *fasthttp.RequestCtx, c *call) *core.Refusal {
 	header := &ctx.Request.Header
 	if c.received {
@@ -146,9 +222,6 @@
 		return refusal(fasthttp.StatusForbidden, core.ReasonForbidden, "expected a caller's key")
 	}
 	c.caller, c.workspace = principal.Name, principal.Workspace
-	if after, ok := d.limiters.allow(c.workspace, c.arrived); !ok {
-		return refusal(fasthttp.StatusTooManyRequests, core.ReasonRateLimited, "the workspace's rate is used up").WithRetryAfter(after)
-	}
 	return nil
 }
 
@@ -162,29 +235,33 @@
 	return value[len(scheme):]
 }
 
-// resolveService sets the service, the path at its targets and the regions that may
-// serve the call.
+// resolveService sets the kind of the service and the path at its targets, and finds a plain service.
 func (d *Daemon) resolveService(ctx *fasthttp.RequestCtx, c *call) *core.Refusal {
 	path := string(ctx.Path())
-	var kind config.ServiceKind
 	switch {
 	case path == pathChat || path == pathCompletions:
-		if refusal := c.readModelRequest(); refusal != nil {
-			return refusal
+		if c.method != fasthttp.MethodPost {
+			return refusal(fasthttp.StatusMethodNotAllowed, core.ReasonBadRequest, "expected POST")
 		}
-		kind, c.targetPath, c.repeatable = config.KindModel, path, true
+		c.kind, c.targetPath, c.repeatable = config.KindModel, path, true
+		return nil
 	case strings.HasPrefix(path, pathServices):
 		name, rest, _ := strings.Cut(path[len(pathServices):], "/")
-		kind, c.serviceName, c.targetPath = config.KindPlain, name, "/"+rest
+		c.kind, c.serviceName, c.targetPath = config.KindPlain, name, "/"+rest
 		if query := ctx.QueryArgs().String(); query != "" {
 			c.targetPath += "?" + query
 		}
+		return d.findService(c)
 	default:
 		return refusal(fasthttp.StatusNotFound, core.ReasonUnknownPath, "no such path: "+path)
 	}
+}
+
+// findService sets the service of a call and the regions that may serve it.
+func (d *Daemon) findService(c *call) *core.Refusal {
 	service, ok := c.index.Document.Services[c.serviceName]
-	if !ok || service.Kind != kind {
-		return refusal(fasthttp.StatusNotFound, core.ReasonUnknownService, fmt.Sprintf("no %s service %q", strings.ToLower(string(kind)), c.serviceName))
+	if !ok || service.Kind != c.kind {
+		return refusal(fasthttp.StatusNotFound, core.ReasonUnknownService, fmt.Sprintf("no %s service %q", strings.ToLower(string(c.kind)), c.serviceName))
 	}
 	c.service = service
 	c.repeatable = c.repeatable || slices.Contains(service.RepeatableMethods, c.method)
@@ -194,9 +271,6 @@
 
 func (c *call) readModelRequest() *core.Refusal {
 	var request modelRequest
-	if c.method != fasthttp.MethodPost {
-		return refusal(fasthttp.StatusMethodNotAllowed, core.ReasonBadRequest, "expected POST")
-	}
 	if err := json.Unmarshal(c.body, &request); err != nil {
 		return refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, "body: "+err.Error())
 	}
@@ -206,7 +280,7 @@
 	if request.MaxTokens < 0 {
 		return refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, "max_tokens: expected a positive number")
 	}
-	if len(request.Messages) == 0 && len(request.Prompt) == 0 {
+	if !request.Messages && !request.Prompt {
 		return refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, "expected messages or prompt")
 	}
 	c.serviceName, c.stream, c.maxTokens = request.Model, request.Stream, request.MaxTokens
--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/config"
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/residency"
+	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
 // serveCaller routes the requests to the callers' address.
@@ -123,6 +124,7 @@
 	d.metrics.add(countCalls, 1)
 	c, refused := d.parseCall(ctx, received)
 	if refused != nil {
+		upload.Refuse(ctx)
 		d.writeRefusal(ctx, c, refused)
 		return
 	}
@@ -130,11 +132,6 @@
 		d.writeRefusal(ctx, c, d.leavingRefusal())
 		return
 	}
-	if !residency.MayHold(c.index, c.workspace, c.dataClass, d.settings.Region) {
-		d.endCall()
-		d.writeRefusal(ctx, c, refusal(fasthttp.StatusMisdirectedRequest, core.ReasonWrongRegion, "the data may not be in this region; use a host of another one"))
-		return
-	}
 	callContext, cancel := c.withTimeout(context.Background())
 	remove := d.hangups.Add(ctx.Conn(), func() {
 		d.metrics.add(countHangUps, 1)
@@ -146,4 +143,7 @@
 		d.endCall()
 	}}
 	h.run(ctx)
+	if _, isStream := ctx.Response.BodyStream().(*relayReader); !isStream { // which may be resumed
+		upload.ReleaseBody(ctx)
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,10 +29,12 @@
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/logsink"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
 	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/seal"
 	"github.com/sequoiarack/sequoiarack/internal/settings"
+	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
 const (
@@ -44,8 +46,8 @@
 	claimRegistryMargin = time.Hour // added to claimRetention, so that an entry outlives its key
 	shutdownTimeout     = 5 * time.Second
 	directoryTTLSeconds = 6
-	// callerDescriptorShare is one over the share of the process's descriptors that callers may use.
-	callerDescriptorShare = 2
+	// callerDescriptorShare is the share of the process's descriptors that connections of callers may use.
+	callerDescriptorShare = 0.5
 )
 
 // Daemon is one host of the gateway.
@@ -81,6 +83,9 @@
 	limiters      limiterTable
 	metrics       *metrics
 
+	memory         *memory.Budget // of connections, calls and bodies
+	memoryLoggedAt atomic.Int64   // Unix nanoseconds
+	uploads        *upload.Reader
 	callerLimiter  *link.Limiter
 	callerServer   *fasthttp.Server
 	peerServer     *fasthttp.Server
@@ -117,7 +122,9 @@
 	for _, option := range options {
 		option(d)
 	}
-	d.callerLimiter = link.NewLimiter(d.clock, link.WithMaxConns(link.Descriptors(0)/callerDescriptorShare), link.WithIdleTimeout(idleTimeout))
+	d.memory = memory.NewMachineBudget(float64(s.MemoryMB))
+	d.uploads = upload.NewReader(d.memory, upload.WithClock(d.clock), upload.WithOnEnded(d.recordEndedUpload))
+	d.callerLimiter = d.newLimiter(callerDescriptorShare, link.WithMemory(memory.Share{Budget: d.memory, Kind: memory.Connections}, upload.ConnectionBytes))
 	d.incarnation = d.clock.Now().UnixMilli()
 	d.targetPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID), d.onMalformed("target"))
 	d.forwardPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID), d.onMalformed("host"))
@@ -191,8 +198,9 @@
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: maxHeaderBytes,
 		ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxRequestBodySize: config.MaxBodyBytes, CloseOnShutdown: true,
-		ErrorHandler: d.serveBadRequest, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
+		MaxRequestBodySize: config.MaxBodyBytes, CloseOnShutdown: true, StreamRequestBody: true,
+		HeaderReceived: d.uploads.HeaderReceived(func() int { return config.MaxBodyBytes }, headerTimeout),
+		ErrorHandler:   d.serveBadRequest, Logger: logsink.Discard{}, ReduceMemoryUsage: true,
 		DisablePreParseMultipartForm: true, // a form is relayed as it came
 	}
 }
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
 )
 
@@ -86,7 +87,8 @@
 	Items           []itemRow `json:"Facts"` // the items of the gossip
 	Goroutines      int
 	HeapBytes       uint64
-	SentBytes       int64 // control traffic, as from ControlBytes
+	Memory          map[string]int // bytes of the budget of memory, in all and by use
+	SentBytes       int64          // control traffic, as from ControlBytes
 	ReceivedBytes   int64
 	PlacementSent   int64 // bytes sent to placing hosts
 	RemoteRequests  int64 `json:"AskedElsewhere"` // placement requests to other hosts
@@ -112,8 +114,8 @@
 		d.log.Error(err, "The placement state could not be read.")
 	}
 	sent, received := d.ControlBytes()
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
 	return Dump{
 		Host: d.settings.Host, Region: d.settings.Region, DataCentre: d.settings.DataCentre,
 		Incarnation: d.incarnation, At: d.clock.Now(), Draining: d.draining.Load(),
@@ -122,13 +124,21 @@
 		Quarantined: snapshot.Quarantined, RunningKeys: d.claims.Running(),
 		Members: view.Members, CutCentres: slices.Sorted(maps.Keys(view.CutCentres)),
 		Targets: snapshot.Targets, Services: snapshot.Services, Items: d.itemRows(ctx),
-		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
+		Goroutines: runtime.NumGoroutine(), HeapBytes: stats.HeapAlloc, Memory: d.memoryUse(),
 		SentBytes: sent, ReceivedBytes: received,
 		PlacementSent: d.placingBytes.Sent(), RemoteRequests: d.placerClient.RemoteRequests.Load(), LocalPlacements: d.placerClient.LocalPlacements.Load(), GrantedToOthers: d.placerServer.Granted(),
 		ClaimWrites: d.committer.Transactions.Load(), Claims: d.committer.Claims.Load(),
 	}
 }
 
+func (d *Daemon) memoryUse() map[string]int {
+	use := d.memory.Use()
+	return map[string]int{
+		"Total": use.Total, "Connections": use.Bytes[memory.Connections], "Calls": use.Bytes[memory.Calls], "Bodies": use.Bytes[memory.Bodies],
+		"Responses": use.Bytes[memory.Responses], "Control": use.Bytes[memory.Control], "Ending": use.Ending,
+	}
+}
+
 func (d *Daemon) itemRows(ctx context.Context) []itemRow {
 	items, err := d.gossip.Items(ctx)
 	if err != nil {
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -78,7 +78,7 @@
 		cancel()
 		return result{}, err
 	}
-	open := &openStream{stream: stream, firstEvent: slices.Clone(event), ended: ended, release: cancel}
+	open := &openStream{stream: stream, firstEvent: event, ended: ended, release: cancel}
 	return result{stream: open, target: host.Host, region: host.Region}, nil
 }
 
@@ -99,6 +99,7 @@
 		{Name: core.HeaderVersion, Value: strconv.FormatUint(c.index.Version, 10)},
 		{Name: core.HeaderDeadline, Value: strconv.FormatInt(max(1, remaining.Milliseconds()), 10)},
 		{Name: core.HeaderSignedAt, Value: signedAt},
+		{Name: headerHeadSignature, Value: h.d.signHead(call.Method, call.Path, signedAt)},
 	}
 	if c.dataClass != "" {
 		call.Headers = append(call.Headers, attempt.Header{Name: core.HeaderDataClass, Value: c.dataClass})
--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -54,5 +54,3 @@
 	var target E
 	return errors.As(err, &target)
 }
-
-func failureIs(err, target error) bool { return errors.Is(err, target) }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -41,4 +41,8 @@
 	countEvents    = "StreamEvents"
 	countReplays   = "ReplayedAnswers"
 	countMalformed = "MalformedResponses"
+
+	countMemoryRefusals = "MemoryRefusals"
+	countEndedUploads   = "EndedUploads"
+	countClosedConns    = "ClosedConnections"
 )
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -16,6 +17,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/failure"
 	"github.com/sequoiarack/sequoiarack/internal/ledger"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 )
 
 const (
@@ -101,10 +103,16 @@
 	writeJSON(ctx, fasthttp.StatusOK, configBody{Version: state.Version, Digest: state.Digest, Document: state.Raw})
 }
 
-// readPatch parses and checks the body of a request with a patch.
-func readPatch(ctx *fasthttp.RequestCtx) (ledger.Patch, *core.Refusal) {
+// readPatch reads, parses and checks the body of a request with a patch.
+func (d *Daemon) readPatch(ctx *fasthttp.RequestCtx) (ledger.Patch, *core.Refusal) {
 	var patch ledger.Patch
-	decoder := json.NewDecoder(strings.NewReader(string(ctx.PostBody())))
+	if r := d.reserveCall(ctx); r != nil {
+		return patch, r
+	}
+	if r := d.readBody(ctx, memory.Control, "operator", config.MaxBodyBytes); r != nil {
+		return patch, r
+	}
+	decoder := json.NewDecoder(bytes.NewReader(ctx.Request.Body()))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&patch); err != nil {
 		return patch, refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, "patch: "+err.Error())
@@ -142,7 +150,7 @@
 }
 
 func (d *Daemon) servePatch(timeoutCtx context.Context, ctx *fasthttp.RequestCtx) {
-	patch, r := readPatch(ctx)
+	patch, r := d.readPatch(ctx)
 	if r != nil {
 		d.writeRefusal(ctx, nil, r)
 		return
@@ -187,7 +195,7 @@
 // serveCheck validates a patch against the configuration in force, without
 // committing it.
 func (d *Daemon) serveCheck(ctx *fasthttp.RequestCtx) {
-	patch, r := readPatch(ctx)
+	patch, r := d.readPatch(ctx)
 	if r != nil {
 		d.writeRefusal(ctx, nil, r)
 		return
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -16,8 +16,11 @@
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/feed"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/placer"
 	"github.com/sequoiarack/sequoiarack/internal/residency"
+	"github.com/sequoiarack/sequoiarack/internal/seal"
+	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
 
 const (
@@ -33,8 +36,13 @@
 // servePeer routes the requests to the peers' address. All of them must be signed.
 func (d *Daemon) servePeer(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	if r := d.receivePeerBody(ctx); r != nil {
+		d.writeRefusal(ctx, nil, r)
+		return
+	}
 	if !d.checkSignature(ctx) {
-		d.writeRefusal(ctx, nil, refusal(fasthttp.StatusUnauthorized, core.ReasonUnauthenticated, "expected the seal of a host of the fleet"))
+		upload.Refuse(ctx)
+		d.writeRefusal(ctx, nil, unsignedRefusal())
 		return
 	}
 	switch {
@@ -54,15 +62,61 @@
 	}
 }
 
+// receivePeerBody reads the body of a request to the peers' address.
+func (d *Daemon) receivePeerBody(ctx *fasthttp.RequestCtx) *core.Refusal {
+	if len(ctx.Request.Header.Peek(core.HeaderSignature)) != seal.SignatureDigits {
+		upload.Refuse(ctx)
+		return unsignedRefusal()
+	}
+	if r := d.reserveCall(ctx); r != nil {
+		return r
+	}
+	kind := memory.Bodies // the sender may be no host
+	if d.verifyHead(ctx) {
+		kind = memory.Control
+	}
+	return d.readBody(ctx, kind, ctx.RemoteIP().String(), config.MaxBodyBytes)
+}
+
+func unsignedRefusal() *core.Refusal {
+	return refusal(fasthttp.StatusUnauthorized, core.ReasonUnauthenticated, "expected the seal of a host of the fleet")
+}
+
+// headerHeadSignature is the signature of the head of a request, by which a host decides how to read the body. Hosts of
+// builds without it sign the whole request only.
+const headerHeadSignature = "Sequoiarack-Head-Signature"
+
+// signHead returns the signature of the head of a request that is signed as a whole at a time, in milliseconds.
+func (d *Daemon) signHead(method, uri, signedAt string) string {
+	return d.signer.Sign(signedHead(method, uri, signedAt)...)
+}
+
+// verifyHead reports whether a host of the fleet has signed the head of a request within signatureMaxSkew of this host's
+// clock.
+func (d *Daemon) verifyHead(ctx *fasthttp.RequestCtx) bool {
+	h := &ctx.Request.Header
+	signedAt := string(h.Peek(core.HeaderSignedAt))
+	return d.isRecent(signedAt) && d.signer.Verify(string(h.Peek(headerHeadSignature)), signedHead(string(h.Method()), string(h.RequestURI()), signedAt)...)
+}
+
+func signedHead(method, uri, signedAt string) [][]byte {
+	return [][]byte{[]byte(headerHeadSignature), []byte(method), []byte(uri), []byte(signedAt)}
+}
+
+// isRecent reports whether a time in milliseconds is within signatureMaxSkew of this host's clock.
+func (d *Daemon) isRecent(signedAt string) bool {
+	ms, err := strconv.ParseInt(signedAt, 10, 64)
+	return err == nil && d.clock.Now().Sub(time.UnixMilli(ms)).Abs() <= signatureMaxSkew
+}
+
 // checkSignature reports whether a host of the fleet signed the request within
 // signatureMaxSkew of this host's clock.
 func (d *Daemon) checkSignature(ctx *fasthttp.RequestCtx) bool {
 	header := func(name string) string { return string(ctx.Request.Header.Peek(name)) }
-	ms, err := strconv.ParseInt(header(core.HeaderSignedAt), 10, 64)
-	if err != nil || d.clock.Now().Sub(time.UnixMilli(ms)).Abs() > signatureMaxSkew {
+	if !d.isRecent(header(core.HeaderSignedAt)) {
 		return false
 	}
-	parts := signedParts(header, string(ctx.Method()), string(ctx.RequestURI()), ctx.PostBody())
+	parts := signedParts(header, string(ctx.Method()), string(ctx.RequestURI()), ctx.Request.Body())
 	return d.signer.Verify(header(core.HeaderSignature), parts...)
 }
 
@@ -150,7 +204,9 @@
 // into v, unless v is nil.
 func (d *Daemon) doSigned(ctx context.Context, pool *exchange.Pool, request *fasthttp.Request, address, path string, v any) error {
 	request.SetRequestURI("http://" + address + path)
-	request.Header.Set(core.HeaderSignedAt, strconv.FormatInt(d.clock.Now().UnixMilli(), 10))
+	signedAt := strconv.FormatInt(d.clock.Now().UnixMilli(), 10)
+	request.Header.Set(core.HeaderSignedAt, signedAt)
+	request.Header.Set(headerHeadSignature, d.signHead(string(request.Header.Method()), path, signedAt))
 	header := func(name string) string { return string(request.Header.Peek(name)) }
 	parts := signedParts(header, string(request.Header.Method()), path, request.Body())
 	request.Header.Set(core.HeaderSignature, d.signer.Sign(parts...))
--- a/internal/daemon/response.go
+++ b/internal/daemon/response.go
@@ -99,15 +99,12 @@
 
 // serveBadRequest answers a request that could not be parsed.
 func (d *Daemon) serveBadRequest(ctx *fasthttp.RequestCtx, err error) {
-	switch {
-	case isA[*fasthttp.ErrSmallBuffer](err):
+	if isA[*fasthttp.ErrSmallBuffer](err) {
 		d.writeRefusal(ctx, nil, refusal(fasthttp.StatusRequestHeaderFieldsTooLarge, core.ReasonBadRequest,
 			"headers: expected at most "+strconv.Itoa(maxHeaderBytes)+" bytes"))
-	case failureIs(err, fasthttp.ErrBodyTooLarge):
-		d.writeRefusal(ctx, nil, refusal(fasthttp.StatusRequestEntityTooLarge, core.ReasonBodyTooLarge, "the body is too large"))
-	default:
-		d.writeRefusal(ctx, nil, refusal(fasthttp.StatusBadRequest, core.ReasonBadRequest, "request: "+err.Error()))
+		return
 	}
+	d.writeRefusal(ctx, nil, unreadable(err))
 }
 
 // refusalOf returns the refusal that reports the failure of an attempt to the
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiarack/sequoiarack/internal/failure"
+	"github.com/sequoiarack/sequoiarack/internal/memory"
 )
 
 // Kind classifies the errors of the package.
@@ -68,6 +69,8 @@
 	BootstrapOperatorDigest string `json:"BootstrapOperatorDigest,omitempty"`
 	// DrainSeconds is the longest duration of a graceful shutdown.
 	DrainSeconds int `json:"DrainSeconds"`
+	// MemoryMB is the memory of the machine in millions of bytes, 0 if it is not known.
+	MemoryMB int `json:"MemoryMB,omitempty"`
 	// LogLevel is the verbosity of the log: 0 for normal messages, 1 for details too.
 	LogLevel int `json:"LogLevel,omitempty"`
 }
@@ -132,6 +135,7 @@
 	{"ClaimSecret", "claim-secret", "secret that keys the digests of requests", text(func(s *Settings) *string { return &s.ClaimSecret })},
 	{"BootstrapOperatorDigest", "bootstrap-operator-digest", "SHA-256 digest of the first operator's key", text(func(s *Settings) *string { return &s.BootstrapOperatorDigest })},
 	{"DrainSeconds", "drain-seconds", "longest graceful shutdown, in seconds", number(func(s *Settings) *int { return &s.DrainSeconds })},
+	{"MemoryMB", "memory-mb", "memory of the machine, in millions of bytes", number(func(s *Settings) *int { return &s.MemoryMB })},
 	{"LogLevel", "log-level", "0 for the usual messages, 1 for more", number(func(s *Settings) *int { return &s.LogLevel })},
 }
 
@@ -247,6 +251,7 @@
 	require(s.BootstrapOperatorDigest == "" || digestRegexp.MatchString(s.BootstrapOperatorDigest),
 		"BootstrapOperatorDigest", "expected a SHA-256 digest in 64 hexadecimal digits")
 	require(s.DrainSeconds > 0, "DrainSeconds", "expected positive seconds, got %d", s.DrainSeconds)
+	require(s.MemoryMB == 0 || s.MemoryMB >= memory.MinMB, "MemoryMB", "expected 0 or at least %d, got %d", memory.MinMB, s.MemoryMB)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
 	return problems
