internal/attempt: keep long responses and events within the memory of the machine

What callers saw: a process of "sequoiarack serve" ended by its machine while 420 clients did not read responses of 2 MiB (677 MB) or streams with events of 64 KiB (149 MB).

Cause: each response was held twice until its client had read it, and each stream held two copies of an event, whatever their sum.

Change: responses and events beyond 16 KiB draw from the share of the budget for responses, and are released once they have been written. When it is used up, the connection whose client has read nothing for the longest time, 2 s at least, is closed, as at a gateway. A response is written from the buffer in which it came, and the first event is no longer copied.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -93,8 +93,14 @@
 	FromPeer    bool
 	// KeyChecked is set if the peer had looked up the call's idempotency key.
 	KeyChecked bool
+
+	memory exchange.Body
 }
 
+// Release returns the memory of the body to the budget of the client. Body must not be used afterwards. It may be called
+// more than once.
+func (r *Response) Release() { r.memory.Release() }
+
 // Outcome returns whether the call was run: the outcome that a peer reported, or else
 // core.Run. A server error (5xx) of a target gives core.Unknown, since the target may
 // have failed before, during or after the run.
@@ -110,11 +116,14 @@
 
 // Client makes attempts over pooled connections. It is safe for concurrent use.
 type Client struct {
-	pool *exchange.Pool
+	pool   *exchange.Pool
+	memory *exchange.MemoryBudget
 }
 
-// NewClient returns a Client.
-func NewClient(pool *exchange.Pool) *Client { return &Client{pool: pool} }
+// NewClient returns a Client whose responses draw from a budget.
+func NewClient(pool *exchange.Pool, m *exchange.MemoryBudget) *Client {
+	return &Client{pool: pool, memory: m}
+}
 
 // open sends the request and checks the response header. A lastOffset of at least 0 asks
 // the target to resume a stream after the event with this offset.
@@ -184,7 +193,7 @@
 }
 
 // Do sends a call and reads the complete response, whose body may have at most limit
-// bytes. Errors are of type Error.
+// bytes. The caller must Release the response. Errors are of type Error.
 func (c *Client) Do(ctx context.Context, address string, call Call, limit int) (Response, error) {
 	const op = "attempt"
 	response, err := c.open(ctx, address, call, -1)
@@ -205,9 +214,10 @@
 		out.KeyChecked = response.Get(core.HeaderKeyProven) != ""
 	}
 	var err error
-	if out.Body, err = response.ReadAll(limit); err != nil {
+	if out.memory, err = response.ReadAllWithin(c.memory, limit); err != nil {
 		return Response{}, c.wrapError(ctx, op, err)
 	}
+	out.Body = out.memory.Bytes
 	return out, nil
 }
 
--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -28,6 +28,7 @@
 	errNoTerminator = errors.New("the stream ended without its terminator")
 	errGap          = errors.New("the stream left out or repeated events")
 	errTooLong      = errors.New("an event is too long")
+	errNoMemory     = errors.New("the host is short of memory")
 )
 
 // Stream is a response of server-sent events. It checks that no event is missing or
@@ -39,7 +40,7 @@
 	call           Call
 	response       *exchange.Response
 	reader         *bufio.Reader
-	event          []byte
+	event          exchange.Body
 	lastOffset     int  // offset of the last event returned, -1 for none
 	resumeAttempts int  // including failed ones
 	hasOffsets     bool // events carry offsets, so the stream can be resumed
@@ -63,7 +64,7 @@
 	}
 	return &Stream{
 		client: c, address: address, call: call, lastOffset: -1, response: response,
-		reader: bufio.NewReaderSize(response, streamBufferBytes),
+		reader: bufio.NewReaderSize(response, streamBufferBytes), event: exchange.NewBody(c.memory),
 	}, nil, nil
 }
 
@@ -83,7 +84,7 @@
 
 // Next returns the next event including its blank line, and whether it is the
 // terminator. The bytes are valid until the next call. The error is of kind Cancelled if
-// ctx has ended, and of kind Lost if the stream can't be resumed.
+// ctx has ended, TooLarge if there is no memory for the event, and Lost if the stream can't be resumed.
 func (s *Stream) Next(ctx context.Context) (event []byte, end bool, err error) {
 	for {
 		event, end, err = s.read()
@@ -93,6 +94,9 @@
 		if ctx.Err() != nil {
 			return nil, false, failure.Wrap("read stream", Cancelled, err)
 		}
+		if errors.Is(err, errNoMemory) {
+			return nil, false, failure.Wrap("read stream", TooLarge, err)
+		}
 		if !s.resume(ctx) {
 			return nil, false, failure.Wrap("read stream", Lost, err)
 		}
@@ -106,33 +110,35 @@
 	case err != nil:
 		return nil, false, err
 	case end:
-		return s.event, true, nil
+		return s.event.Bytes, true, nil
 	case offset < 0 && !s.hasOffsets:
-		return s.event, false, nil
+		return s.event.Bytes, false, nil
 	case offset != s.lastOffset+1:
 		return nil, false, errGap
 	}
 	s.hasOffsets = true
 	s.lastOffset = offset
-	return s.event, false, nil
+	return s.event.Bytes, false, nil
 }
 
 // readEvent reads up to the next blank line into s.event. It returns the offset of the
 // event, or -1 if it has none, and whether the event is the terminator.
 func (s *Stream) readEvent() (offset int, end bool, err error) {
-	s.event = s.event[:0]
+	s.event.Reset()
 	offset = -1
 	for {
 		line, err := s.reader.ReadSlice('\n')
-		s.event = append(s.event, line...)
+		if !s.event.Append(line) {
+			return 0, false, errNoMemory
+		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(s.event) <= maxEventBytes:
+		case errors.Is(err, bufio.ErrBufferFull) && len(s.event.Bytes) <= maxEventBytes:
 			continue
 		case errors.Is(err, io.EOF):
 			return 0, false, errNoTerminator
 		case err != nil:
 			return 0, false, err
-		case len(s.event) > maxEventBytes:
+		case len(s.event.Bytes) > maxEventBytes:
 			return 0, false, errTooLong
 		}
 		if len(line) <= len("\r\n") && len(bytes.TrimRight(line, "\r\n")) == 0 {
@@ -188,8 +194,14 @@
 	s.response.Close()
 }
 
-// Close closes the stream. If its end was not reached, the connection is closed too.
-func (s *Stream) Close() { s.response.Close() }
+// Close closes the stream, after which no event may be used. If its end was not reached, the connection is closed too.
+func (s *Stream) Close() {
+	s.response.Close()
+	s.event.Release()
+}
+
+// ReleaseEvent returns the memory of the last event, which must not be used afterwards.
+func (s *Stream) ReleaseEvent() { s.event.Release() }
 
 // Address returns the address of the target.
 func (s *Stream) Address() string { return s.address }
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -75,7 +75,7 @@
 	if r.refusal != nil {
 		h.d.writeRefusal(ctx, h.call, r.refusal)
 	} else {
-		h.d.writeResponse(ctx, h.call, *r.response)
+		h.d.writeResponse(ctx, h.call, r.response)
 	}
 	h.release()
 }
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// maxResponseMemoryBytes bounds the long bodies and events of targets that are held at the same time.
+	maxResponseMemoryBytes = 256 << 20
 	// memoryLogInterval bounds the log lines on a lack of memory.
 	memoryLogInterval = time.Second
 	// memoryRetryAfter is the time, in seconds, after which a call that was refused for want of memory may come again.
@@ -75,6 +77,19 @@
 	d.logMemory()
 }
 
+// awaitResponseMemory waits for the memory of long responses, and ends a response that its caller does not read. It
+// returns false once a response has waited for upload.MemoryWait.
+func (d *Daemon) awaitResponseMemory(attempt int) bool {
+	if attempt >= int(upload.MemoryWait/upload.MemoryPoll) {
+		d.metrics.add(countMemoryRefusals, 1)
+		return false
+	}
+	d.logMemory()
+	d.callerLimiter.EndUnread()
+	<-d.clock.After(upload.MemoryPoll)
+	return true
+}
+
 // logMemory logs a lack of memory, once a memoryLogInterval at most.
 func (d *Daemon) logMemory() {
 	now := d.clock.Now().UnixNano()
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -106,7 +106,7 @@
 	took := h.d.clock.Now().Sub(a.started)
 	h.d.hedging.observe(h.call.serviceName, took)
 	h.d.placerClient.ObserveSpeed(a.grant, straggler.FirstToken, took)
-	return attemptResult{attempt: a, open: &openStream{stream: stream, firstEvent: slices.Clone(event), ended: ended, grant: a.grant}}
+	return attemptResult{attempt: a, open: &openStream{stream: stream, firstEvent: event, ended: ended, grant: a.grant}}
 }
 
 // discard cancels an attempt that failed with err, or that lost to another one
@@ -133,9 +133,13 @@
 	}
 	go func() {
 		for range running {
-			if res := <-results; res.open != nil {
+			res := <-results
+			if res.open != nil {
 				res.open.stream.Close()
 			}
+			if res.response != nil {
+				res.response.Release()
+			}
 		}
 	}()
 }
@@ -265,6 +269,7 @@
 	if !r.ended {
 		r.handler.abandon(r.open)
 	}
+	r.open.stream.ReleaseEvent()
 	if r.open.release != nil {
 		r.open.release()
 	}
--- a/internal/daemon/response.go
+++ b/internal/daemon/response.go
@@ -71,7 +71,7 @@
 // writeResponse writes the complete response of a target to the caller. NotRun is
 // reported as Unknown if an earlier request with the same key may have been run and
 // the host that responded didn't check the key.
-func (d *Daemon) writeResponse(ctx *fasthttp.RequestCtx, c *call, response attempt.Response) {
+func (d *Daemon) writeResponse(ctx *fasthttp.RequestCtx, c *call, response *attempt.Response) {
 	outcome := response.Outcome()
 	if outcome == core.NotRun && c.mayHaveRun() && !response.KeyChecked {
 		outcome = core.Unknown
@@ -83,7 +83,17 @@
 	}
 	ctx.SetStatusCode(response.Status)
 	ctx.SetContentType(response.ContentType)
-	ctx.SetBody(response.Body)
+	ctx.Response.SetBodyRaw(response.Body)
+	ctx.SetUserValue(writtenResponse{}, writtenResponse{response})
+}
+
+// writtenResponse is a response that the server writes. The server closes it afterwards, and when the connection fails.
+type writtenResponse struct{ response *attempt.Response }
+
+// Close releases the memory of the response.
+func (w writtenResponse) Close() error {
+	w.response.Release()
+	return nil
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
