internal/daemon: bound the connections to the address for other hosts

What callers saw: beside 600 clients at each of both addresses of a process of "sequoiarack serve" with 1,200 descriptors, ordinary requests got no answer.

Cause: only the connections of callers were bounded. Those at the address for other hosts, which anybody may open, took the rest of the descriptors.

Change: they may use 0.15 of the descriptors, as at a gateway. When there are too many, the one that has been idle or blocked for the longest time is closed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,8 +46,10 @@
 	claimRegistryMargin = time.Hour // added to claimRetention, so that an entry outlives its key
 	shutdownTimeout     = 5 * time.Second
 	directoryTTLSeconds = 6
-	// callerDescriptorShare is the share of the process's descriptors that connections of callers may use.
+	// The shares of the process's descriptors that connections of callers and of other hosts may use. The rest is for
+	// connections to targets, hosts and the store, for sockets and for files.
 	callerDescriptorShare = 0.5
+	peerDescriptorShare   = 0.15
 )
 
 // Daemon is one host of the gateway.
@@ -87,6 +89,7 @@
 	memoryLoggedAt atomic.Int64   // Unix nanoseconds
 	uploads        *upload.Reader
 	callerLimiter  *link.Limiter
+	peerLimiter    *link.Limiter
 	callerServer   *fasthttp.Server
 	peerServer     *fasthttp.Server
 	callerListener net.Listener
@@ -125,6 +128,7 @@
 	d.memory = memory.NewMachineBudget(float64(s.MemoryMB))
 	d.uploads = upload.NewReader(d.memory, upload.WithClock(d.clock), upload.WithOnEnded(d.recordEndedUpload))
 	d.callerLimiter = d.newLimiter(callerDescriptorShare, link.WithMemory(memory.Share{Budget: d.memory, Kind: memory.Connections}, upload.ConnectionBytes))
+	d.peerLimiter = d.newLimiter(peerDescriptorShare)
 	d.incarnation = d.clock.Now().UnixMilli()
 	d.targetPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID), d.onMalformed("target"))
 	d.forwardPool = exchange.NewPool(d.network, exchange.WithOnceHeader(core.HeaderRequestID), d.onMalformed("host"))
@@ -167,7 +171,7 @@
 	if d.peerListener, err = d.network.Listen(d.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	d.peerListener = d.retryAccept(d.peerListener)
+	d.peerListener = d.peerLimiter.Listen(d.retryAccept(d.peerListener))
 	if d.packetConn, err = d.network.ListenPacket(d.settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
@@ -181,6 +185,7 @@
 	d.callerServer = d.newServer(d.serveCaller)
 	d.callerServer.ConnState = d.callerLimiter.OnState
 	d.peerServer = d.newServer(d.servePeer)
+	d.peerServer.ConnState = d.peerLimiter.OnState
 	return nil
 }
 
