--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -50,9 +50,10 @@
 	programMB   = 40
 	budgetShare = 0.6
 	bytesPerMB  = 1_000_000
-	// DefaultMB is the memory of a machine that is not known, in millions of bytes, and MinMB the least.
-	DefaultMB = 4096
-	MinMB     = 64
+	// defaultMB is what counts as the memory of a machine that is not known.
+	defaultMB = 4096
+	// MinMB is the least memory of a machine, in millions of bytes.
+	MinMB = 64
 )
 
 // shares are the parts of the memory that the kinds may use at most.
@@ -78,7 +79,7 @@
 // known.
 func NewMachineBudget(mb float64) *Budget {
 	if mb == 0 {
-		mb = DefaultMB
+		mb = defaultMB
 	}
 	return NewBudget(int(budgetShare * (mb - programMB) * bytesPerMB))
 }
--- a/internal/upload/upload.go
+++ b/internal/upload/upload.go
@@ -27,9 +27,9 @@
 	// shortBodyBytes bounds the bodies that are part of callBytes, and firstBodyBytes is the first buffer of a body.
 	shortBodyBytes = 16 << 10
 	firstBodyBytes = 2 << 10
-	// An upload waits for memory for MemoryWait before it is refused: somewhat longer than others may stall. It asks
-	// again each MemoryPoll.
+	// MemoryWait is how long an upload waits for memory before it is refused: somewhat longer than others may stall.
 	MemoryWait = 1500 * time.Millisecond
+	// MemoryPoll is the interval at which it asks again.
 	MemoryPoll = 50 * time.Millisecond
 
 	// headerOversize marks a request whose announced body is over the limit. Callers cannot set it.
