deploy: move settings that a platform may not have into the environment

Cause: the template had become one that only a platform with all values and sections can fill in, for four settings that have defaults.

Change: these four are environment variables of the role, which a gateway reads like "serve" reads its own; flags override them. The host logs what it goes by.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/gateway"
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/logsink"
+	"github.com/sequoiarack/sequoiarack/internal/settings"
 	"github.com/sequoiarack/sequoiarack/platform"
 )
 
@@ -26,20 +29,23 @@
 	set := newFlagSet("gateway", o)
 	path := set.String("settings", "", "settings file, in JSON")
 	check := set.Bool("check", false, "check the settings and exit")
+	overrides := newOverrides(set)
 	return &ffcli.Command{
 		Name: "gateway", ShortUsage: "sequoiarack gateway --settings FILE [flags]", ShortHelp: "run an entry host that reads its routes from a platform's store",
 		LongHelp: "Serves the routes in the platform's store. SIGTERM stops the host gracefully;\n" +
-			"SIGHUP reloads the settings, and so does a change of the file.",
-		FlagSet: set,
+			"SIGHUP reloads the settings, and so does a change of the file. Flags and\n" +
+			"environment variables override the file.",
+		FlagSet: set, Options: settings.Options(),
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
 				return usageError{errors.Errorf("gateway takes no arguments, got %q", args[0])}
 			}
-			s, err := gateway.LoadSettings(*path)
+			load := func() (gateway.Settings, error) { return gateway.LoadSettings(*path, overrides.apply) }
+			s, err := load()
 			if err != nil || *check {
 				return err
 			}
-			return runGateway(ctx, o, *path, s)
+			return runGateway(ctx, o, *path, load, s)
 		},
 	}
 }
@@ -53,7 +59,7 @@
 	}
 }
 
-func runGateway(ctx context.Context, o *outputs, path string, s gateway.Settings) error {
+func runGateway(ctx context.Context, o *outputs, path string, load func() (gateway.Settings, error), s gateway.Settings) error {
 	limitMemory(s.MemoryMB)
 	sink := logsink.New(o.out)
 	logCtx, stopLogging := context.WithCancel(context.Background())
@@ -87,11 +93,11 @@
 			return err
 		case <-poll.C:
 			if file.changed() {
-				reload(log, g, path)
+				reload(log, g, load)
 			}
 		case <-reloads:
 			file.changed()
-			reload(log, g, path)
+			reload(log, g, load)
 		case <-ctx.Done():
 			g.Drain()
 			return <-done
@@ -99,6 +105,46 @@
 	}
 }
 
+// overrides are settings that were given as flags or environment variables, by the name of the flag.
+type overrides map[string]float64
+
+// overridable are the settings of a gateway that a flag overrides: those that depend on the machine or on what the
+// operator allows.
+var overridable = []struct {
+	flag, usage string
+	field       func(*gateway.Settings) *float64
+}{
+	{"memory-mb", "memory of the machine, in millions of bytes", func(s *gateway.Settings) *float64 { return &s.MemoryMB }},
+	{"revocation-ms", "how long a withdrawn key may work, in milliseconds", func(s *gateway.Settings) *float64 { return &s.RevocationMs }},
+	{"quota-overage", "part by which calls may exceed a quota", func(s *gateway.Settings) *float64 { return &s.QuotaOverage }},
+	{"quota-window-seconds", "period of the quotas, in seconds", func(s *gateway.Settings) *float64 { return &s.QuotaWindowSeconds }},
+}
+
+// newOverrides defines a flag for each overridable setting.
+func newOverrides(set *flag.FlagSet) overrides {
+	o := overrides{}
+	for _, item := range overridable {
+		set.Func(item.flag, item.usage, func(text string) error {
+			value, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				return errors.Errorf("expected a number, got %q", text)
+			}
+			o[item.flag] = value
+			return nil
+		})
+	}
+	return o
+}
+
+// apply sets the settings that were given.
+func (o overrides) apply(s *gateway.Settings) {
+	for _, item := range overridable {
+		if value, ok := o[item.flag]; ok {
+			*item.field(s) = value
+		}
+	}
+}
+
 // settingsPollInterval is the interval at which a host looks whether its settings file has changed, which
 // platforms may do without a signal.
 const settingsPollInterval = time.Second
@@ -129,8 +175,8 @@
 
 // reload loads the settings again. If they are invalid, the current ones stay in
 // force.
-func reload(log logr.Logger, g *gateway.Gateway, path string) {
-	s, err := gateway.LoadSettings(path)
+func reload(log logr.Logger, g *gateway.Gateway, load func() (gateway.Settings, error)) {
+	s, err := load()
 	if err != nil {
 		log.Error(err, "Invalid settings; the previous ones stay in force.")
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -365,7 +365,8 @@
 	for _, s := range g.servers {
 		group.Go(s.name, s.run)
 	}
-	g.log.Info("The host serves.", "CallerAddress", g.settings.CallerAddress, "Region", g.settings.Region, "Seeds", g.settings.Seeds)
+	g.log.Info("The host serves.", "CallerAddress", g.settings.CallerAddress, "Region", g.settings.Region, "Seeds", g.settings.Seeds,
+		"MemoryMB", g.settings.MemoryMB, "RevocationMs", g.settings.RevocationMs, "QuotaOverage", g.settings.QuotaOverage)
 	ended := make(chan struct{})
 	go group.LogFailures(ended, g.log)
 	err := group.Wait()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -79,9 +79,9 @@
 	return time.Duration(s.DirectoryTTLSeconds * float64(time.Second))
 }
 
-// LoadSettings reads and checks a settings file. Its error lists every wrong setting. Unknown
-// fields are ignored, so that a file may have settings of a later version.
-func LoadSettings(path string) (Settings, error) {
+// LoadSettings reads and checks a settings file, after the changes that override it. Its error lists every wrong setting.
+// Unknown fields are ignored, so that a file may have settings of a later version.
+func LoadSettings(path string, changes ...func(*Settings)) (Settings, error) {
 	const op = "load settings"
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -91,6 +91,9 @@
 	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&s); err != nil {
 		return Settings{}, failure.Wrap(op, settings.Malformed, err)
 	}
+	for _, change := range changes {
+		change(&s)
+	}
 	if problems := s.Check(); len(problems) > 0 {
 		return Settings{}, failure.Wrap(op, settings.Invalid, problems)
 	}
