pkg/client: send bodies only to hosts of regions in which the data may be

Cause: /v1/hosts listed the hosts of all regions to every caller, and the client went on to the next one.

Change: a caller with a key gets the hosts of the regions in which data of its workspace, of the class that it names, may be. The client asks with its key and class, keeps a list for each class, and sends calls only to hosts that are listed, no longer to the addresses with which it was made.

--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -24,7 +24,7 @@
 	case path == "/readyz":
 		d.serveReady(ctx)
 	case path == "/v1/hosts":
-		writeJSON(ctx, fasthttp.StatusOK, hostsBody{Hosts: d.hostRows()})
+		d.serveHosts(ctx)
 	case path == "/v1/models":
 		d.serveModels(ctx)
 	case path == "/v1/keys":
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -8,10 +8,15 @@
 	"slices"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
+	"github.com/sequoiarack/sequoiarack/internal/config"
+	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/memory"
 	"github.com/sequoiarack/sequoiarack/internal/placement"
+	"github.com/sequoiarack/sequoiarack/internal/residency"
 )
 
 // hostRow is the entry of a host in the responses to callers.
@@ -26,6 +31,17 @@
 	Hosts []hostRow `json:"Hosts"`
 }
 
+// serveHosts lists the hosts that callers may use. A caller with a key gets only those of regions in which its data, of
+// the class that it names, may be.
+func (d *Daemon) serveHosts(ctx *fasthttp.RequestCtx) {
+	x, rows := d.index(), d.hostRows()
+	if principal, ok := x.Authenticate(bearer(ctx)); ok && principal.Role == config.RoleCaller {
+		class := string(ctx.Request.Header.Peek(core.HeaderDataClass))
+		rows = slices.DeleteFunc(rows, func(r hostRow) bool { return !residency.MayHold(x, principal.Workspace, class, r.Region) })
+	}
+	writeJSON(ctx, fasthttp.StatusOK, hostsBody{Hosts: rows})
+}
+
 // hostRows returns the hosts that callers may use, nearest first. This host is
 // omitted while it drains, unless no other host is in use.
 func (d *Daemon) hostRows() []hostRow {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -63,7 +63,12 @@
 	pool    *exchange.Pool
 	timeout time.Duration
 
-	mu        sync.Mutex
+	mu    sync.Mutex
+	lists map[string]hostList // by data class
+}
+
+// hostList is the list of the hosts to which calls of a data class may be sent.
+type hostList struct {
 	hosts     []string
 	refreshed time.Time
 }
@@ -82,7 +87,7 @@
 // New returns a Client that authenticates with a caller's key. It discovers
 // the fleet through the given hosts, each an IP:port.
 func New(key string, hosts []string, options ...Option) *Client {
-	c := &Client{apiKey: key, seeds: hosts, hosts: hosts, timeout: defaultTimeout}
+	c := &Client{apiKey: key, seeds: hosts, lists: map[string]hostList{}, timeout: defaultTimeout}
 	for _, option := range options {
 		option(c)
 	}
@@ -247,7 +252,7 @@
 		}
 	}
 	if lastErr == nil {
-		lastErr = &Error{Op: r.Path, Reason: "NoHost", Message: "no host is known", Outcome: NotRun}
+		lastErr = &Error{Op: r.Path, Reason: "NoHost", Message: "no host is known in a region where the data may be", Outcome: c.unsentOutcome(r)}
 	}
 	return nil, lastErr
 }
@@ -344,39 +349,48 @@
 	}
 }
 
-// Hosts returns the caller addresses of the hosts, nearest first. It fetches the
-// list again after hostListTTL, and returns the old one if no host responds.
-func (c *Client) Hosts(ctx context.Context) []string {
+// Hosts returns the caller addresses of the hosts in regions where data of the caller's workspace may be, nearest first.
+// It fetches the list again after hostListTTL, and returns the old one if no host responds.
+func (c *Client) Hosts(ctx context.Context) []string { return c.hostsFor(ctx, "") }
+
+// hostsFor is Hosts for data of a class.
+func (c *Client) hostsFor(ctx context.Context, dataClass string) []string {
 	c.mu.Lock()
-	hosts, fresh := c.hosts, time.Since(c.refreshed) < hostListTTL
+	list := c.lists[dataClass]
 	c.mu.Unlock()
-	if fresh {
-		return hosts
+	if time.Since(list.refreshed) < hostListTTL {
+		return list.hosts
 	}
-	for _, host := range append(append([]string(nil), hosts...), c.seeds...) {
-		if fetched, err := c.fetchHosts(ctx, host); err == nil && len(fetched) > 0 {
+	for _, host := range append(append([]string(nil), list.hosts...), c.seeds...) {
+		if fetched, err := c.fetchHosts(ctx, host, dataClass); err == nil && len(fetched) > 0 {
 			c.mu.Lock()
-			c.hosts, c.refreshed = fetched, time.Now()
+			c.lists[dataClass] = hostList{hosts: fetched, refreshed: time.Now()}
 			c.mu.Unlock()
 			return fetched
 		}
 	}
-	return hosts
+	return list.hosts
 }
 
+// candidates returns the hosts to which a call may be sent. The hosts that were given to New are asked for them, but get
+// no call that they do not list, as they may be in regions where its data may not be.
 func (c *Client) candidates(ctx context.Context, r Request) []string {
 	if r.Host != "" {
 		return []string{r.Host}
 	}
-	return c.Hosts(ctx)
+	return c.hostsFor(ctx, r.DataClass)
 }
 
-func (c *Client) fetchHosts(ctx context.Context, host string) ([]string, error) {
+func (c *Client) fetchHosts(ctx context.Context, host, dataClass string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI("http://" + host + "/v1/hosts")
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.apiKey)
+	if dataClass != "" {
+		request.Header.Set(core.HeaderDataClass, dataClass)
+	}
 	response, err := c.pool.Do(ctx, host, request)
 	if err != nil {
 		return nil, err
