internal/exchange: reserve no more for a response than its length

What callers saw: on a machine with 136 MB a call of "sequoiarack serve" whose response has the full size of 8 MiB got 502, in calm, since responses draw from the budget of memory.

Cause: the buffer doubles, to 16 MiB once it is full, which exceeds the share of responses.

Change: a buffer grows up to the announced length or the limit, and one byte that shows the end.

--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -130,8 +131,11 @@
 
 // grow doubles the capacity of the buffer and reserves the added bytes. It returns
 // false if the budget is exhausted.
-func (b *Body) grow() bool {
-	newCap := max(readBufferBytes, 2*cap(b.Bytes))
+func (b *Body) grow() bool { return b.growWithin(math.MaxInt) }
+
+// growWithin is grow for a body of at most most bytes.
+func (b *Body) growWithin(most int) bool {
+	newCap := min(max(readBufferBytes, 2*cap(b.Bytes)), most)
 	if newCap > unreservedBodyBytes {
 		extra := newCap - max(cap(b.Bytes), unreservedBodyBytes)
 		if !b.budget.reserve(extra) {
@@ -151,8 +155,12 @@
 func (r *Response) ReadAllWithin(m *MemoryBudget, limit int) (Body, error) {
 	defer r.Close()
 	b := NewBody(m)
+	most := limit + 1
+	if n := r.Header.ContentLength(); n >= 0 {
+		most = min(most, n+1) // the last byte is for the end of the body
+	}
 	for {
-		if len(b.Bytes) > limit || (len(b.Bytes) == cap(b.Bytes) && !b.grow()) {
+		if len(b.Bytes) > limit || (len(b.Bytes) == cap(b.Bytes) && !b.growWithin(most)) {
 			b.Release()
 			return Body{}, wrap("read body", TooLarge, nil)
 		}
