internal/memory: leave other senders a part of the memory beside complete uploads

What callers saw: with 80 calls of 1 MiB of one workspace at targets that take long, calls with long bodies of another workspace got 503 until those had ended.

Cause: complete uploads are never ended, as they may have run, and one source could fill the whole memory for bodies with them.

Change: the uploads of a source that has several may have three quarters of the memory for bodies. A single upload may have as much as before.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -34,6 +34,9 @@
 	overdraftShare = 0.125
 	// maxBodyShare is the part of the memory for bodies that one body may have. It holds two copies while it grows.
 	maxBodyShare = 0.6
+	// sourceShare is the part of the memory for bodies that the uploads of one source may have, if it has several. The rest
+	// is for other sources, as uploads that are complete are not ended for them.
+	sourceShare = 0.75
 	// stallTime is the time without progress after which an upload makes room for others. It exceeds the pauses of a
 	// connection that loses some packets.
 	stallTime = time.Second
--- a/internal/memory/upload.go
+++ b/internal/memory/upload.go
@@ -158,8 +158,19 @@
 // the next upload to end is that one, or if too much is still held by uploads that were told to end.
 func (b *Budget) reserve(now time.Time, kind Kind, n int, by *Upload) Decision {
 	var d Decision
-	for !b.fits(kind, n) {
-		u, reason := nextToEnd(now, b.candidates(kind, n, by))
+	for {
+		var candidates []*Upload
+		switch {
+		case !b.inSourceShare(n, by):
+			candidates = b.uploadsOf(by.source)
+		case !b.fits(kind, n):
+			candidates = b.candidates(kind, n, by)
+		default:
+			b.used[kind] += n
+			d.Granted = true
+			return d
+		}
+		u, reason := nextToEnd(now, candidates)
 		if u == nil || u == by || float64(b.ending+u.held) > overdraftShare*float64(b.total) {
 			return d
 		}
@@ -170,9 +181,21 @@
 		b.forget(u)
 		d.End = append(d.End, u)
 	}
-	b.used[kind] += n
-	d.Granted = true
-	return d
+}
+
+// inSourceShare reports whether n more bytes of an upload are within the share of its source. A source with one upload has
+// no share of its own.
+func (b *Budget) inSourceShare(n int, by *Upload) bool {
+	if by == nil || by.kind != Bodies || by.source == "" {
+		return true
+	}
+	h := b.sources[by.source]
+	return h.uploads < 2 || float64(h.bytes+n) <= sourceShare*shares[Bodies]*float64(b.total)
+}
+
+// uploadsOf returns the unfinished uploads of a source that hold memory, oldest first.
+func (b *Budget) uploadsOf(source string) []*Upload {
+	return slices.DeleteFunc(slices.Clone(b.uploads), func(u *Upload) bool { return u.source != source || u.held == 0 })
 }
 
 // candidates returns the unfinished uploads of which one is to end for n bytes of a kind, oldest first. If a source with
