internal/link: close connections whose bodies are not read before idle ones

Without it, clients that send on after a refusal could hold all connections of a host for a second at a time, while new ones are closed at once. Evidence: the spec of the limiter with two connections got no answer (status 0) without the change. The response to a body that is not read has a spec of its own.

--- a/internal/link/limiter.go
+++ b/internal/link/limiter.go
@@ -292,6 +292,17 @@
 	c.place = c.limiter.idle.PushBack(c)
 }
 
+// enterIdleFirst makes the connection the first of the idle ones to be closed.
+func (c *limitedConn) enterIdleFirst() {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.evicted && !c.closed {
+		c.enterIdle()
+		l.idle.MoveToFront(c.place)
+	}
+}
+
 func (c *limitedConn) leaveIdle() {
 	if c.place != nil {
 		c.limiter.idle.Remove(c.place)
@@ -370,12 +381,14 @@
 	}
 }
 
-// linger ends the sending side of the connection and reads what the peer still sends.
+// linger ends the sending side of the connection and reads what the peer still sends. Meanwhile the connection is the
+// first to make room for others.
 func (c *limitedConn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(c.limiter.clock.Now().Add(lingerTime)) != nil {
 		return
 	}
+	c.enterIdleFirst()
 	_, _ = io.CopyN(io.Discard, c, lingerBytes) // ends with an error when the peer closes
 }
 
--- a/internal/link/limiter_test.go
+++ b/internal/link/limiter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -94,8 +95,12 @@
 					<-slow
 				case "/long":
 					ctx.SetBody(make([]byte, 32<<20))
+				case "/refused":
+					link.Linger(ctx.Conn())
+					ctx.Error("refused", fasthttp.StatusServiceUnavailable)
+					ctx.SetConnectionClose()
 				}
-			}, ConnState: l.OnState, ReduceMemoryUsage: true, IdleTimeout: time.Hour, ReadTimeout: time.Hour,
+			}, StreamRequestBody: true, ConnState: l.OnState, ReduceMemoryUsage: true, IdleTimeout: time.Hour, ReadTimeout: time.Hour,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -130,6 +135,28 @@
 		Expect(events.Load()).To(Equal(int64(2)))
 	})
 
+	// Guards against clients that do not get a refusal, as the system resets connections with unread bytes.
+	It("lets a client that only reads at the end get the response to a body that is not read", func() {
+		l, address := serve(nil)
+		c := dial(address)
+		body := make([]byte, 2<<20)
+		_, err := fmt.Fprintf(c, "POST /refused HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.status()).To(Equal(http.StatusServiceUnavailable))
+		Eventually(l.Open).WithTimeout(10*time.Second).Should(BeZero(), "although the client stays")
+	})
+
+	It("closes connections whose bodies are not read first when there are too many", func() {
+		_, address := serve(nil, link.WithMaxConns(2))
+		idle, refused := dial(address), dial(address)
+		Expect(idle.get()).To(Equal(http.StatusOK))
+		_, err := fmt.Fprint(refused, "POST /refused HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n"+strings.Repeat("x", 20_000))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refused.status()).To(Equal(http.StatusServiceUnavailable))
+		Expect(dial(address).get()).To(Equal(http.StatusOK))
+		Expect(idle.get()).To(Equal(http.StatusOK))
+	})
+
 	It("applies other timeouts to open connections", func() {
 		l, address := serve(nil, link.WithIdleTimeout(time.Hour))
 		idle, slow := dial(address), dial(address)
