--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -19,8 +20,9 @@
 	maxResponseMemoryBytes = 256 << 20
 	// memoryLogInterval bounds the log lines on a lack of memory.
 	memoryLogInterval = time.Second
-	// memoryRetryAfter is the time, in seconds, after which a call that was refused for want of memory may come again.
-	memoryRetryAfter = 1
+	// maxMemoryRetryAfter is the longest time, in seconds, after which a call that was refused for want of memory may come
+	// again. Calls get different times, so that they do not come at once.
+	maxMemoryRetryAfter = 3
 )
 
 // newLimiter returns a limiter for a share of the process's descriptors.
@@ -53,7 +55,7 @@
 	if kind, _ := failure.KindOf[upload.Kind](err); kind == upload.NoMemory {
 		d.metrics.add(countMemoryRefusals, 1)
 		d.logMemory()
-		return refusal(fasthttp.StatusServiceUnavailable, core.ReasonOverloaded, "the host is short of memory").WithRetryAfter(memoryRetryAfter)
+		return refusal(fasthttp.StatusServiceUnavailable, core.ReasonOverloaded, "the host is short of memory").WithRetryAfter(1 + rand.IntN(maxMemoryRetryAfter))
 	}
 	return unreadable(err)
 }
