--- /dev/null
+++ b/internal/delta/suite_test.go
@@ -0,0 +1,13 @@
+package delta_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func Test(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Delta")
+}
