internal/gateway: keep own traffic within a part of the link

What callers saw: answers by an older configuration than the one in force (CONFIG), at hosts whose machine's link is full of what our hosts send one another.

Cause: the host that reads the store for its data centre sent every version whole, in JSON and base64, to each other host: 17 kB x 22 hosts x 3 a second is 1.1 MB/s of the 1.25 MB/s of a link of 10 Mbit/s. A request ended after 0.3 s whatever its length, and was sent again with all that had come since, so that the load grew as the link filled. The host's own reads, heartbeats and forwarded calls waited behind it. With long values the same happened with the store: changes hold every version, and a read that had not ended after 2.5 s began anew, with more to read. The class of fault: one sender repeats whole state to all, and what is urgent waits behind bulk.

Change, one design for all own traffic: - bulk is paced by package bandwidth to a quarter of the link; heartbeats, reports, reads of the store and forwarded calls pass it; - updates are frames (CBOR, compressed) whose long values are differences from those that the recipient has; one that lacks the base gets them whole; - what is too long for one host to send to all is left out, and each recipient reads the store itself at once; - time-outs follow from length and rate; - the reader is a host whose link has at least half of the widest one's rate; hosts announce LinkMbps, a new setting, rendered from the platform's link_mbps; - changes of the store that a link can't carry in 1.5 s are not read, but the entries, which have each key once, until no new configuration comes; - differences, configurations and items of membership for other hosts are compressed and paced. Hosts of builds before get updates as JSON, as before (Protocol 3 of members). Bytes by purpose, waits of bulk, the way of each configuration and purposes that exceed their share are logged and counted.

Specs that fail on: a storm at 12 hosts with 2 Mbit/s held a link for 2.4 s (bound 0.5); a long random configuration was in force after 5.10 s (bound 5); no host with a wide link was preferred.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -55,7 +55,9 @@
 func adapters() gateway.Adapters {
 	return gateway.Adapters{
 		Protocol: platform.Protocol{}, Decoder: platform.Decoder{},
-		NewReader: func(pool *exchange.Pool, address string) keyvalue.Reader { return platform.NewStore(pool, address) },
+		NewReader: func(pool *exchange.Pool, address string, maxChanges int) keyvalue.Reader {
+			return platform.NewStore(pool, address, platform.WithMaxChanges(maxChanges))
+		},
 	}
 }
 
@@ -115,6 +117,7 @@
 	field       func(*gateway.Settings) *float64
 }{
 	{"memory-mb", "memory of the machine, in millions of bytes", func(s *gateway.Settings) *float64 { return &s.MemoryMB }},
+	{"link-mbps", "rate of the machine's link each way, in Mbit/s", func(s *gateway.Settings) *float64 { return &s.LinkMbps }},
 	{"revocation-ms", "how long a withdrawn key may work, in milliseconds", func(s *gateway.Settings) *float64 { return &s.RevocationMs }},
 	{"quota-overage", "part by which calls may exceed a quota", func(s *gateway.Settings) *float64 { return &s.QuotaOverage }},
 	{"quota-window-seconds", "period of the quotas, in seconds", func(s *gateway.Settings) *float64 { return &s.QuotaWindowSeconds }},
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -205,12 +205,12 @@
 // to the revision after. Only the reports of targets may bring none.
 func (c *Catalogue) isUpdate(e keyvalue.Event, after int64) bool {
 	older, known := c.entries[e.Key]
-	if e.Deleted || !known || older.ModRevision > after {
+	if e.Deleted || !known || older.ModRevision > after || c.kindOf(e.Key) != TargetReport {
 		return true
 	}
 	decoded, err := c.decoder.Decode(e.Key, e.Value)
 	before, olderErr := c.decoder.Decode(e.Key, older.Value)
-	return decoded.Kind != TargetReport || err != nil || olderErr != nil || decoded.Report.isUpdateOf(before.Report)
+	return err != nil || olderErr != nil || decoded.Report.isUpdateOf(before.Report)
 }
 
 // known reports whether this revision of the key, or a later one, was applied before, as
@@ -305,6 +305,30 @@
 	return true
 }
 
+// minBaseBytes is the least length of a value of which recipients get differences.
+const minBaseBytes = 256
+
+// Bases returns the known entries of the keys of some events, by key, of those that are worth a difference.
+func (c *Catalogue) Bases(events []keyvalue.Event) map[string]keyvalue.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]keyvalue.Entry{}
+	for _, e := range events {
+		if known, ok := c.entries[e.Key]; ok && len(known.Value) >= minBaseBytes {
+			out[e.Key] = known
+		}
+	}
+	return out
+}
+
+// Entry returns the known entry of a key, false if there is none.
+func (c *Catalogue) Entry(key string) (keyvalue.Entry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[key]
+	return e, ok
+}
+
 // Configuration returns the write of the configuration in force, or false if there is none.
 func (c *Catalogue) Configuration() (keyvalue.Event, bool) {
 	c.mu.Lock()
@@ -520,8 +544,11 @@
 }
 
 // KindOf returns the kind of the entry that an event is about.
-func (c *Catalogue) KindOf(e keyvalue.Event) Kind {
-	decoded, _ := c.decoder.Decode(e.Key, e.Value) // the kind is also set when the value cannot be decoded
+func (c *Catalogue) KindOf(e keyvalue.Event) Kind { return c.kindOf(e.Key) }
+
+// kindOf returns the kind of the entries with a key.
+func (c *Catalogue) kindOf(key string) Kind {
+	decoded, _ := c.decoder.Decode(key, nil) // the kind is also set without a value
 	return decoded.Kind
 }
 
--- a/internal/catalogue/export_test.go
+++ b/internal/catalogue/export_test.go
@@ -15,3 +15,11 @@
 func (f *Follower) ReadOnce(ctx context.Context) {
 	f.readOnce(ctx, readState{fullRead: true, first: true})
 }
+
+// ReadSeries makes calls to the store one after the other, as FollowStore of the host that reads for its group does.
+func (f *Follower) ReadSeries(ctx context.Context, calls int) {
+	state := readState{fullRead: true, first: true}
+	for range calls {
+		state = f.readOnce(ctx, state)
+	}
+}
--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,14 @@
 	// Partial means that there may be further changes that the update does not carry. After
 	// and Revision have no meaning then.
 	Partial bool
+	// Bases are the entries that changes replace at the reading host, by key, of those that are worth a difference. Hosts
+	// may have others.
+	Bases map[string]keyvalue.Entry `json:"-"`
+	// Omitted means that there are changes that the update does not carry, as they are too long. Each recipient reads the
+	// store itself.
+	Omitted bool `json:"-"`
+	// ReadTime is how long the reading host waited for the answer of the store.
+	ReadTime time.Duration `json:"-"`
 	// AsOf is when the reading host asked the store, zero if that is not known. A recipient goes by the age
 	// that the sender states, which leaves out the time on the way.
 	AsOf time.Time `json:"-"`
@@ -75,7 +84,15 @@
 		return Update{}, false
 	}
 	later.After, later.Revision = u.After, max(u.Revision, later.Revision)
-	later.Events = slices.Concat(u.Events, later.Events)
+	bases := maps.Clone(later.Bases)
+	for _, e := range u.Events { // recipients that lack both updates have what precedes the first change of a key
+		delete(bases, e.Key)
+	}
+	if bases == nil {
+		bases = map[string]keyvalue.Entry{}
+	}
+	maps.Copy(bases, u.Bases)
+	later.Events, later.Bases = slices.Concat(u.Events, later.Events), bases
 	return later, true
 }
 
@@ -101,6 +118,7 @@
 	log       logr.Logger
 	available chan bool // whether the store answered the last call
 	updated   chan struct{}
+	omitted   chan struct{}             // changes came that only the store has
 	relayedAt atomic.Pointer[time.Time] // when the reading host asked for what it last sent
 	contact   lastContact
 }
@@ -147,7 +165,7 @@
 func NewFollower(c *Catalogue, reader keyvalue.Reader, fetch FetchDifference, peers PeerGroup, k clock.Clock, log logr.Logger) *Follower {
 	return &Follower{
 		catalogue: c, reader: reader, fetch: fetch, peers: peers, clock: k, log: log,
-		available: make(chan bool, 1), updated: make(chan struct{}, 1),
+		available: make(chan bool, 1), updated: make(chan struct{}, 1), omitted: make(chan struct{}, 1),
 	}
 }
 
@@ -172,6 +190,9 @@
 	restored bool      // the store has begun a new era since the last successful call
 	updated  time.Time // when another host asked for the changes that it last sent
 	reader   bool      // this host reads for its group
+	omitted  bool      // an update left out changes, which this host has not read yet
+	// behind is set while the changes are too long to read in time: full reads have each key once.
+	behind bool
 }
 
 // FollowStore reads the store until ctx ends, unless another host does so for this one.
@@ -186,8 +207,9 @@
 		if state.first && f.catalogue.Snapshot().Revision > 0 {
 			state.fullRead, state.first, state.updated = false, false, now // another host sent the full state
 		}
-		if !now.Before(state.nextCall) && (state.fullRead || state.reader || now.Sub(state.updated) > maxNewsAge) {
+		if !now.Before(state.nextCall) && (state.fullRead || state.reader || state.omitted || now.Sub(state.updated) > maxNewsAge) {
 			state = f.readOnce(ctx, state)
+			state.omitted = state.omitted && state.failed
 			state.nextCall = f.clock.Now().Add(f.pause(state))
 		}
 		select {
@@ -199,6 +221,8 @@
 			}
 			state.failed, state.updated = false, *f.relayedAt.Load()
 			f.setAvailable(true)
+		case <-f.omitted:
+			state.omitted = true
 		case <-f.clock.After(pollInterval):
 		}
 	}
@@ -215,6 +239,8 @@
 	Gap UpdateResult = "Gap"
 	// Incomplete means that the update has no revision.
 	Incomplete UpdateResult = "Incomplete"
+	// ReadsStore means that the update left out changes, which this host reads from the store.
+	ReadsStore UpdateResult = "ReadsStore"
 )
 
 // HandleUpdate applies an update from the host that reads the store. A host that has missed
@@ -223,11 +249,19 @@
 // is not known.
 func (f *Follower) HandleUpdate(u Update, asOf Contact) UpdateResult {
 	if u.Partial {
+		bases := f.catalogue.Bases(u.Events)
 		if events := f.catalogue.Apply(u.Events, 0, FromOtherReader); len(events) > 0 {
-			f.broadcast(Update{Events: events, Partial: true})
+			f.broadcast(Update{Events: events, Bases: bases, Partial: true})
 		}
 		return Incomplete
 	}
+	if u.Omitted {
+		select {
+		case f.omitted <- struct{}{}:
+		default:
+		}
+		return ReadsStore
+	}
 	known := f.catalogue.Snapshot().Revision
 	if u.StoreRecovered {
 		f.catalogue.StoreRecovered()
@@ -267,9 +301,10 @@
 // readOnce makes one call to the store and returns the state after it.
 func (f *Follower) readOnce(ctx context.Context, s readState) readState {
 	read := f.readChanges
-	if s.fullRead {
+	if s.fullRead || s.behind {
 		read = f.readAll
 	}
+	before := f.catalogue.Snapshot()
 	began := f.NewContact().At(f.clock.Now())
 	err := read(ctx, s)
 	if ctx.Err() != nil {
@@ -279,15 +314,33 @@
 	if err == nil {
 		f.contact.record(began)
 	}
-	kind, _ := failure.KindOf[keyvalue.Kind](err)
-	restored := err != nil && kind == keyvalue.Restored
-	if restored {
-		f.log.Info("The store was restored from a copy; it is read anew.", "Revision", f.catalogue.Snapshot().Revision)
+	f.logReadAnew(err, before.Revision)
+	return s.after(err, f.catalogue.Snapshot().Table != before.Table)
+}
+
+// logReadAnew logs why the entries of the store are read in place of its changes.
+func (f *Follower) logReadAnew(err error, revision int64) {
+	switch {
+	case isKind(err, keyvalue.Restored):
+		f.log.Info("The store was restored from a copy; it is read anew.", "Revision", revision)
+	case isKind(err, keyvalue.TooLong):
+		f.log.Info("The changes of the store are too long to read in time; its entries are read.", "Revision", revision)
 	}
+}
+
+func isKind(err error, kind keyvalue.Kind) bool {
+	known, ok := failure.KindOf[keyvalue.Kind](err)
+	return ok && known == kind
+}
+
+// after returns the state after a call with its error, nil for none. configured is set if it brought a configuration.
+func (s readState) after(err error, configured bool) readState {
+	restored, tooLong := isKind(err, keyvalue.Restored), isKind(err, keyvalue.TooLong)
+	readAnew := restored || tooLong || isKind(err, keyvalue.Compacted)
 	s.restored = restored || (s.restored && err != nil)
-	compacted := restored || (err != nil && kind == keyvalue.Compacted)
+	s.behind = tooLong || s.behind && (err != nil || configured)
 	s.first = s.first && err != nil
-	s.fullRead, s.failed = compacted || (s.fullRead && err != nil), err != nil && !compacted
+	s.fullRead, s.failed = readAnew || (s.fullRead && err != nil), err != nil && !readAnew
 	return s
 }
 
@@ -312,19 +365,29 @@
 	if err != nil {
 		return err
 	}
+	readTime := f.clock.Now().Sub(asked)
 	recovering := f.isRecovering(s)
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
+	bases := f.catalogue.Bases(writesOf(page.Entries))
 	update := f.catalogue.Replace(page.Entries, after, page.Revision)
 	if after == 0 {
 		update = Update{After: page.Revision, Revision: page.Revision} // hosts with an older revision read the store themselves
 	}
-	update.StoreRecovered, update.AsOf = recovering, asked
+	update.StoreRecovered, update.AsOf, update.ReadTime, update.Bases = recovering, asked, readTime, bases
 	f.broadcast(update)
 	return nil
 }
 
+func writesOf(entries []keyvalue.Entry) []keyvalue.Event {
+	out := make([]keyvalue.Event, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, keyvalue.Event{Entry: e})
+	}
+	return out
+}
+
 func (f *Follower) readChanges(ctx context.Context, s readState) error {
 	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
 	defer cancel()
@@ -334,11 +397,12 @@
 	if err != nil {
 		return err
 	}
+	readTime, bases := f.clock.Now().Sub(asked), f.catalogue.Bases(events)
 	recovering := f.isRecovering(s)
 	if recovering {
 		f.catalogue.StoreRecovered()
 	}
-	f.broadcast(Update{After: after, Revision: revision, Events: f.catalogue.ApplyFromStore(events, after, revision), StoreRecovered: recovering, AsOf: asked})
+	f.broadcast(Update{After: after, Revision: revision, Events: f.catalogue.ApplyFromStore(events, after, revision), StoreRecovered: recovering, AsOf: asked, ReadTime: readTime, Bases: bases})
 	return nil
 }
 
@@ -363,8 +427,7 @@
 // recordResult logs that the store stopped or resumed answering, and passes the result of
 // the last call on to FollowPeers.
 func (f *Follower) recordResult(err error, failed bool) {
-	kind, _ := failure.KindOf[keyvalue.Kind](err)
-	lost := err != nil && kind != keyvalue.Compacted && kind != keyvalue.Restored
+	lost := err != nil && !isKind(err, keyvalue.Compacted) && !isKind(err, keyvalue.Restored) && !isKind(err, keyvalue.TooLong)
 	if lost && !failed {
 		f.log.Error(err, "The store does not answer.", "Revision", f.catalogue.Snapshot().Revision)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -296,6 +296,7 @@
 		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 		return
 	}
+	g.countReceived(ctx)
 	switch target := string(ctx.RequestURI()); {
 	case len(ctx.Request.Header.Peek(core.HeaderPassed)) > 0: // whatever its path
 		g.serveForwardedCall(ctx)
@@ -303,6 +304,8 @@
 		g.serveItems(ctx)
 	case target == pathPeerUpdate:
 		g.serveUpdate(ctx)
+	case target == pathPeerUpdateFrame:
+		g.serveUpdateFrame(ctx)
 	case target == pathPeerConfiguration:
 		g.serveConfiguration(ctx)
 	case strings.HasPrefix(target, pathPeerCatalogue):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,7 +23,9 @@
 //	paths.go        paths of hosts to the targets of their region
 //	storecontact.go answers of the store to other hosts
 //	newer.go        configurations that another host has before this one
+//	traffic.go      bytes between hosts by purpose
 //	updates.go      store updates that one host reads for its data centre
+//	updateframe.go  updates as they are sent
 //	outbox.go       updates that wait for other hosts
 //	peers.go        requests between hosts
 //	observe.go      metrics, state dump and the log line of a call
@@ -52,9 +54,11 @@
 
 	"github.com/sequoiarack/sequoiarack/internal/allowance"
 	"github.com/sequoiarack/sequoiarack/internal/balance"
+	"github.com/sequoiarack/sequoiarack/internal/bandwidth"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/clock"
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
+	"github.com/sequoiarack/sequoiarack/internal/delta"
 	"github.com/sequoiarack/sequoiarack/internal/duty"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
 	"github.com/sequoiarack/sequoiarack/internal/gossip"
@@ -98,8 +102,9 @@
 type Adapters struct {
 	Protocol Protocol
 	Decoder  catalogue.Decoder
-	// NewReader returns a reader of the store that uses a pool of connections.
-	NewReader func(pool *exchange.Pool, address string) keyvalue.Reader
+	// NewReader returns a reader of the store that uses a pool of connections. One read of changes takes maxChanges bytes at
+	// most, 0 for no bound.
+	NewReader func(pool *exchange.Pool, address string, maxChanges int) keyvalue.Reader
 }
 
 // Gateway is one entry host.
@@ -137,6 +142,8 @@
 	updates            *ring.Queue[catalogue.Update]
 	outboxes           *outboxes
 	updateBytes        *semaphore.Weighted // of the updates that are being sent
+	updateEncoder      *delta.Encoder
+	bandwidth          *bandwidth.Budget // of the traffic with other hosts and the store
 	newerHosts         *ring.Queue[newerHost]
 	doubtsRaised       chan struct{} // wakes checkHealth
 	pathsSuspected     chan struct{} // wakes probePaths
@@ -246,7 +253,7 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, sinceBoot: clock.SinceBoot, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), updateBytes: semaphore.NewWeighted(maxUpdateBytes), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), updateBytes: semaphore.NewWeighted(maxUpdateBytes), updateEncoder: delta.NewEncoder(), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
@@ -262,18 +269,21 @@
 	g.started = g.clock.Now()
 	g.quotas.limiter = allowance.New(s.Host, g.started)
 	g.network = reclaimingNetwork{Network: g.network, gateway: g}
+	g.bandwidth = bandwidth.NewBudget(g.clock, s.LinkMbps, bandwidth.WithOnWait(func(p bandwidth.Purpose, d time.Duration) {
+		g.metrics.observeAge(fmt.Sprintf("bulk_wait_ms{purpose=%q}", p), d)
+	}))
 	g.memory = memory.NewMachineBudget(s.MemoryMB)
 	g.uploads = upload.NewReader(g.memory, upload.WithClock(g.clock), upload.WithOnEnded(g.recordEndedUpload))
 	g.callers = g.newLimiter(callerServer, callerShare, link.WithMemory(memory.Share{Budget: g.memory, Kind: memory.Connections}, upload.ConnectionBytes))
 	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
-	g.peerPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
+	g.peerPool = exchange.NewPool(g.counted(bandwidth.Calls), exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
-	g.storePool = exchange.NewPool(g.network, exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
+	g.storePool = exchange.NewPool(g.counted(bandwidth.Store), exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
 	g.bodyMemory = exchange.NewMemoryBudget(maxBodyMemoryBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Responses}), exchange.WithOnShort(g.awaitResponseMemory))
 	g.controlMemory = exchange.NewMemoryBudget(maxPeerResponseBytes, exchange.WithinBudget(memory.Share{Budget: g.memory, Kind: memory.Control}))
 	g.catalogue = catalogue.New(adapters.Decoder, s.DataCentres,
 		catalogue.WithClock(g.clock), catalogue.WithLogger(g.log.WithName("catalogue")), catalogue.WithOnChange(g.configure))
-	g.follower = catalogue.NewFollower(g.catalogue, adapters.NewReader(g.storePool, s.StoreAddress), g.fetchCatalogue, peerGroup{g}, g.clock, g.log.WithName("catalogue"))
+	g.follower = catalogue.NewFollower(g.catalogue, adapters.NewReader(g.storePool, s.StoreAddress, g.bandwidth.MaxRead()), g.fetchCatalogue, peerGroup{g}, g.clock, g.log.WithName("catalogue"))
 	return g, g.listen()
 }
 
@@ -306,16 +316,16 @@
 		g.servers = append(g.servers, namedServer{name: h.name, server: server, listener: h.limiter.Listen(g.retryAccept(h.name, listener)), limiter: h.limiter})
 	}
 	var err error
-	if g.gossipConn, err = g.network.ListenPacket(g.settings.PeerAddress); err != nil {
+	if g.gossipConn, err = g.listenPacket(g.settings.PeerAddress, bandwidth.Membership); err != nil {
 		return errors.Wrap(err, "peer address")
 	}
 	ip, _, _ := net.SplitHostPort(g.settings.PeerAddress)
-	if g.messageConn, err = g.network.ListenPacket(net.JoinHostPort(ip, strconv.Itoa(g.settings.SharePort))); err != nil {
+	if g.messageConn, err = g.listenPacket(net.JoinHostPort(ip, strconv.Itoa(g.settings.SharePort)), bandwidth.LoadReports); err != nil {
 		return errors.Wrap(err, "share port")
 	}
 	self := member.Info{
 		Host: g.settings.Host, Region: g.settings.Region, DataCentre: g.settings.DataCentre,
-		CallerAddress: g.settings.CallerAddress, PeerAddress: g.settings.PeerAddress, Incarnation: g.started.UnixMilli(), Protocol: member.ProtocolWorkspaces,
+		CallerAddress: g.settings.CallerAddress, PeerAddress: g.settings.PeerAddress, Incarnation: g.started.UnixMilli(), Protocol: member.ProtocolUpdateFrames, LinkMbps: g.settings.LinkMbps,
 	}
 	g.gossip = gossip.New(g.gossipConn, g.signer, self,
 		gossip.WithClock(g.clock), gossip.WithLogger(g.log.WithName("gossip")),
@@ -351,6 +361,7 @@
 	group.Go("store follower", g.follower.FollowStore)
 	group.Go("peer follower", g.follower.FollowPeers)
 	group.Go("store update sender", g.broadcastUpdates)
+	group.Go("traffic monitor", g.watchTraffic)
 	group.Go("newer configuration fetcher", g.fetchFromNewerHosts)
 	group.Go("load report sender", g.sendLoadReports)
 	group.Go("load report receiver", g.receiveMessages)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiarack/sequoiarack/internal/bandwidth"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
@@ -111,7 +112,7 @@
 // queryVersion adopts the configuration of a host if it is newer than a known one.
 func (g *Gateway) queryVersion(ctx context.Context, host member.Info, known uint64) {
 	var u catalogue.Update
-	err := g.callPeer(ctx, host.PeerAddress, pathPeerConfiguration, nil, &u, func(h *fasthttp.RequestHeader) {
+	err := g.callPeer(ctx, host.PeerAddress, pathPeerConfiguration, bandwidth.Configurations, nil, &u, func(h *fasthttp.RequestHeader) {
 		h.Set(headerKnown, strconv.FormatUint(known, 10))
 	})
 	if err != nil {
--- a/internal/gateway/newer.go
+++ b/internal/gateway/newer.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiarack/sequoiarack/internal/bandwidth"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
 	"github.com/sequoiarack/sequoiarack/internal/core"
@@ -50,7 +51,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return
 	}
-	g.writeJSON(ctx, catalogue.Update{Partial: true, Events: []keyvalue.Event{event}})
+	g.writeBulk(ctx, bandwidth.Configurations, catalogue.Update{Partial: true, Events: []keyvalue.Event{event}})
 }
 
 // fetchConfiguration adopts the configuration of a host that has a newer version. Concurrent requests are
@@ -64,7 +65,7 @@
 		defer cancel()
 		g.metrics.add("newer_configurations_fetched_total", 1)
 		var u catalogue.Update
-		if err := g.callPeer(ctx, from.PeerAddress, pathPeerConfiguration, nil, &u); err != nil {
+		if err := g.callPeer(ctx, from.PeerAddress, pathPeerConfiguration, bandwidth.Configurations, nil, &u); err != nil {
 			return nil, err
 		}
 		g.follower.HandleUpdate(u, catalogue.Contact{})
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -99,6 +99,7 @@
 	case pathMetrics:
 		g.metrics.write(ctx)
 		g.writeMemory(ctx)
+		g.writeTraffic(ctx)
 		snapshot := g.catalogue.Snapshot()
 		_, _ = fmt.Fprintf(ctx, "sequoiarack_store_revision %d\nsequoiarack_targets %d\nsequoiarack_calls_running %d\nsequoiarack_hosts %d\n",
 			snapshot.Revision, len(snapshot.Targets), g.inFlight.Load(), len(g.gossip.View().Members))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,16 +11,18 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiarack/sequoiarack/internal/bandwidth"
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/delta"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
 const (
 	pathPeerItems        = "/peer/board"
 	pathPeerCatalogue    = "/peer/catalogue/"
-	peerTimeout          = time.Second
+	peerTimeout          = time.Second // beside the time that a long message takes
 	maxPeerResponseBytes = 16 << 20
 )
 
@@ -64,15 +66,24 @@
 	return parts
 }
 
+// headerEncoding names the encoding of a response: that of package delta, without a base. A request with it asks for that.
+const (
+	headerEncoding = "Gateway-Encoding"
+	encodingDelta  = "Delta"
+)
+
 // callPeer sends a control request to another host, a POST if body is not nil, and decodes
 // its JSON response into v. It leaves v as it is if the response has no content.
-func (g *Gateway) callPeer(ctx context.Context, address, path string, body []byte, v any, headers ...func(*fasthttp.RequestHeader)) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+func (g *Gateway) callPeer(ctx context.Context, address, path string, purpose bandwidth.Purpose, body []byte, v any, headers ...func(*fasthttp.RequestHeader)) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(peerTimeout+g.bandwidth.Timeout(len(body)), cancel)
+	defer timer.Stop()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetHost(address)
 	request.Header.SetRequestURI(path)
+	request.Header.Set(headerEncoding, encodingDelta)
 	for _, set := range headers {
 		set(&request.Header)
 	}
@@ -85,14 +96,22 @@
 	if err != nil {
 		return err
 	}
+	timer.Reset(peerTimeout + g.bandwidth.Timeout(max(0, response.Header.ContentLength())))
 	data, err := response.ReadAllWithin(g.controlMemory, maxPeerResponseBytes)
 	if err != nil {
 		return err
 	}
 	defer data.Release()
+	g.bandwidth.Count(purpose, bandwidth.Received, len(data.Bytes))
 	switch response.Status() {
 	case fasthttp.StatusOK:
-		return json.Unmarshal(data.Bytes, v)
+		content := data.Bytes
+		if response.Get(headerEncoding) == encodingDelta {
+			if content, err = delta.Decode(content, nil, maxPeerResponseBytes); err != nil {
+				return err
+			}
+		}
+		return json.Unmarshal(content, v)
 	case fasthttp.StatusNoContent:
 		return nil
 	default:
@@ -112,12 +131,12 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	g.writeJSON(ctx, itemsBody{Items: items})
+	g.writeBulk(ctx, bandwidth.Items, itemsBody{Items: items})
 }
 
 func (g *Gateway) fetchItems(ctx context.Context, address string) ([]bulletin.Item, error) {
 	var body itemsBody
-	err := g.callPeer(ctx, address, pathPeerItems, nil, &body)
+	err := g.callPeer(ctx, address, pathPeerItems, bandwidth.Items, nil, &body)
 	return body.Items, err
 }
 
@@ -135,7 +154,7 @@
 		return
 	}
 	difference.ContactAgeMs = age
-	g.writeJSON(ctx, difference)
+	g.writeBulk(ctx, bandwidth.Differences, difference)
 }
 
 // fetchCatalogue fetches the changes after a revision from a random host: of the own region,
@@ -165,10 +184,27 @@
 		return catalogue.Difference{}, errors.New("no other host is known")
 	}
 	var d catalogue.Difference
-	err := g.callPeer(ctx, addresses[rand.IntN(len(addresses))], pathPeerCatalogue+strconv.FormatInt(after, 10), nil, &d)
+	err := g.callPeer(ctx, addresses[rand.IntN(len(addresses))], pathPeerCatalogue+strconv.FormatInt(after, 10), bandwidth.Differences, nil, &d)
 	return d, err
 }
 
+// writeBulk responds to another host with v in JSON, encoded if the host asks for that, as fast as bulk may be sent.
+func (g *Gateway) writeBulk(ctx *fasthttp.RequestCtx, purpose bandwidth.Purpose, v any) {
+	body, err := json.Marshal(v)
+	if err == nil && string(ctx.Request.Header.Peek(headerEncoding)) == encodingDelta {
+		body, err = g.updateEncoder.Encode(body, nil)
+		ctx.Response.Header.Set(headerEncoding, encodingDelta)
+	}
+	if err != nil {
+		g.log.Error(err, "A response could not be encoded.")
+		ctx.Response.Header.Del(headerEncoding)
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyStream(g.bandwidth.NewReader(context.Background(), purpose, body), len(body))
+}
+
 func (g *Gateway) writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -66,6 +66,9 @@
 	MaxDescriptors int `json:"MaxDescriptors,omitempty"`
 	// MemoryMB is the memory of the host's machine, in millions of bytes. 0 means that it is not known.
 	MemoryMB float64 `json:"MemoryMB,omitempty"`
+	// LinkMbps is the rate of the link of the host's machine each way, in Mbit/s. 0 means that it is not known, and that
+	// messages to other hosts are not paced.
+	LinkMbps float64 `json:"LinkMbps,omitempty"`
 	// LogLevel is 0 for the usual messages and 1 for more.
 	LogLevel int `json:"LogLevel,omitempty"`
 }
@@ -131,6 +134,7 @@
 	require(s.QuotaWindowSeconds >= 0, "QuotaWindowSeconds", "expected no negative number, got %g", s.QuotaWindowSeconds)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
 	require(s.MemoryMB == 0 || s.MemoryMB >= memory.MinMB, "MemoryMB", "expected 0 or at least %d, got %g", memory.MinMB, s.MemoryMB)
+	require(s.LinkMbps >= 0, "LinkMbps", "expected no negative number, got %g", s.LinkMbps)
 	require(s.LogLevel == 0 || s.LogLevel == 1, "LogLevel", "expected 0 or 1, got %d", s.LogLevel)
 	return append(problems, s.Policy.Check("Policy")...)
 }
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -8,10 +8,13 @@
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sequoiarack/sequoiarack/internal/bandwidth"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
+	"github.com/sequoiarack/sequoiarack/internal/gossip"
 	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/rendezvous"
@@ -21,9 +24,6 @@
 	pathPeerUpdate = "/peer/news"
 	// maxQueuedUpdates bounds the updates that wait to be sent.
 	maxQueuedUpdates = 8
-	// updateTimeout bounds the request to one host, so that a host that hangs gets the next
-	// update soon after it goes on.
-	updateTimeout = 300 * time.Millisecond
 	// maxUpdateBytes bounds the bodies of the updates that are being sent, a part of the memory of the
 	// smallest host: a configuration of the longest value takes a sixth of it.
 	maxUpdateBytes = 8 << 20
@@ -58,6 +58,19 @@
 	hosts   map[string]string
 }
 
+// minReaderLink is the part of the widest link of a data centre that the link of the host that reads the store must have.
+const minReaderLink = 0.5
+
+// readerCandidates returns the hosts of a data centre in use whose links are wide enough to send updates to all others.
+func readerCandidates(view *gossip.View, dataCentre string) []member.Info {
+	hosts := view.Filter(func(m member.Info) bool { return m.DataCentre == dataCentre && m.InUse() })
+	widest := 0.0
+	for _, m := range hosts {
+		widest = max(widest, m.LinkMbps)
+	}
+	return slices.DeleteFunc(hosts, func(m member.Info) bool { return m.LinkMbps < minReaderLink*widest })
+}
+
 // storeReaderOf returns the host that reads the store for a data centre according to this
 // host's membership view.
 func (g *Gateway) storeReaderOf(dataCentre string) string {
@@ -66,8 +79,7 @@
 	if readers == nil || readers.version != view.Version {
 		readers = &storeReaders{version: view.Version, hosts: map[string]string{}}
 		for name := range g.settings.DataCentres {
-			hosts := view.Filter(func(m member.Info) bool { return m.DataCentre == name && m.InUse() })
-			reader, _ := rendezvous.Pick(hosts, func(m member.Info) string { return m.Host + storeReaderKey })
+			reader, _ := rendezvous.Pick(readerCandidates(view, name), func(m member.Info) string { return m.Host + storeReaderKey })
 			readers.hosts[name] = reader.Host
 		}
 		g.storeReaders.Store(readers)
@@ -99,7 +111,7 @@
 // queueUpdate queues an update for each host that is to get it. It returns the hosts with queued updates to
 // which none is being sent.
 func (g *Gateway) queueUpdate(u catalogue.Update) []member.Info {
-	operatorUpdate := catalogue.Update{Events: g.operatorEvents(u.Events), Partial: true}
+	operatorUpdate := catalogue.Update{Events: g.operatorEvents(u.Events), Bases: u.Bases, Partial: true}
 	alive := map[string]bool{}
 	var out []member.Info
 	for _, m := range g.gossip.View().Members {
@@ -223,19 +235,75 @@
 	return s.times[i], true
 }
 
+// sendUpdate sends an update to a host, in the form that it understands.
 func (g *Gateway) sendUpdate(ctx context.Context, to member.Info, u catalogue.Update) error {
-	size := min(updateSize(u), maxUpdateBytes)
+	if to.Protocol < member.ProtocolUpdateFrames {
+		return g.sendUpdateBody(ctx, to, pathPeerUpdate, updateSize(u), nil, func(time.Duration) ([]byte, error) {
+			return json.Marshal(g.newUpdateMessage(to.Host, u))
+		})
+	}
+	lacksBase, err := g.sendUpdateFrame(ctx, to, u, true)
+	if lacksBase {
+		g.metrics.add("updates_without_bases_total", 1)
+		_, err = g.sendUpdateFrame(ctx, to, u, false)
+	}
+	return err
+}
+
+// sendUpdateFrame sends an update as a frame, with bases of its values or without. It reports whether the recipient lacks
+// one of the bases.
+func (g *Gateway) sendUpdateFrame(ctx context.Context, to member.Info, u catalogue.Update, useBases bool) (bool, error) {
+	frame, err := g.encodeUpdate(u, useBases)
+	if err != nil {
+		return false, err
+	}
+	if !g.bandwidth.MaySpread(len(frame), g.updateRecipients()) {
+		g.metrics.add("updates_omitted_total", 1)
+		g.log.Info("An update is left to the recipient's own read, as it is long.", "To", to.Host, "Revision", u.Revision, "Bytes", len(frame))
+		if u.Partial {
+			return false, nil // the other data centre has a reader of its own
+		}
+		if frame, err = g.encodeUpdate(catalogue.Update{After: u.After, Revision: u.Revision, Omitted: true}, false); err != nil {
+			return false, err
+		}
+	}
+	var reply updateReply
+	err = g.sendUpdateBody(ctx, to, pathPeerUpdateFrame, int64(len(frame)), &reply, func(paced time.Duration) ([]byte, error) {
+		m := g.newUpdateMessage(to.Host, u)
+		return cbor.Marshal(updateEnvelope{
+			AgeMs: m.AgeMs, Heard: m.Heard, HeardIncarnation: m.HeardIncarnation,
+			ReadMs: u.ReadTime.Milliseconds(), QueuedMs: max(0, m.AgeMs-u.ReadTime.Milliseconds()), PacedMs: paced.Milliseconds(), Frame: frame,
+		})
+	})
+	return reply.LacksBase, err
+}
+
+// updateRecipients returns how many hosts get the updates of this one.
+func (g *Gateway) updateRecipients() int {
+	return len(g.gossip.View().Filter(func(m member.Info) bool {
+		return m.DataCentre == g.settings.DataCentre && m.Status == member.Alive && m.Host != g.settings.Host
+	}))
+}
+
+// sendUpdateBody sends the body of an update of some size once its turn on the link has come. The body is made then, as it
+// states the age of the update.
+func (g *Gateway) sendUpdateBody(ctx context.Context, to member.Info, path string, size int64, reply any, newBody func(paced time.Duration) ([]byte, error)) error {
+	size = min(size, maxUpdateBytes)
 	if err := g.updateBytes.Acquire(ctx, size); err != nil {
 		return err
 	}
 	defer g.updateBytes.Release(size)
-	body, err := json.Marshal(g.newUpdateMessage(to.Host, u))
+	began := g.clock.Now()
+	if err := g.bandwidth.Send(ctx, bandwidth.Updates, int(size)); err != nil {
+		return err
+	}
+	body, err := newBody(g.clock.Now().Sub(began))
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, g.bandwidth.Timeout(len(body)))
 	defer cancel()
-	return g.callPeer(ctx, to.PeerAddress, pathPeerUpdate, body, nil)
+	return g.callPeer(ctx, to.PeerAddress, path, bandwidth.Updates, body, reply)
 }
 
 // updateSize returns a bound on the length of an update as it is sent.
@@ -257,11 +325,55 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	g.handleUpdate(m)
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// handleUpdate applies an update of another host.
+func (g *Gateway) handleUpdate(m updateMessage) {
 	if m.AgeMs > 0 {
 		m.AsOf = g.clock.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	}
 	contact := g.follower.NewContact() // before asOf, whose time a suspension makes too late
 	result := g.follower.HandleUpdate(m.Update, contact.At(g.asOf(m)))
 	g.metrics.add(fmt.Sprintf("updates_total{result=%q}", result), 1)
+}
+
+// serveUpdateFrame handles a store update of another host that comes as a frame.
+func (g *Gateway) serveUpdateFrame(ctx *fasthttp.RequestCtx) {
+	var e updateEnvelope
+	if err := cbor.Unmarshal(ctx.PostBody(), &e); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	u, err := g.decodeUpdate(e.Frame)
+	if lacksBase(err) {
+		g.writeJSON(ctx, updateReply{LacksBase: true})
+		return
+	}
+	if err != nil {
+		g.log.Error(err, "A store update of another host could not be decoded.", "From", ctx.RemoteIP().String())
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	before := g.configurationVersion()
+	m := updateMessage{Update: u, AgeMs: e.AgeMs, Heard: e.Heard, HeardIncarnation: e.HeardIncarnation}
+	way := g.sinceHeard(m)
+	g.handleUpdate(m)
+	g.metrics.observeAge("update_way_ms", way)
+	if version := g.configurationVersion(); version != before {
+		g.log.Info("A configuration came with an update.", "Version", version, "Revision", u.Revision, "Partial", u.Partial, "Bytes", len(e.Frame),
+			"ReadMs", e.ReadMs, "QueuedMs", e.QueuedMs, "PacedMs", e.PacedMs, "WayMs", way.Milliseconds())
+	}
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
+
+// sinceHeard returns the time since this host sent the load report that the sender of an update had heard last: more than
+// the update was on its way. It returns 0 if that is not known.
+func (g *Gateway) sinceHeard(m updateMessage) time.Duration {
+	asOf := g.asOf(m)
+	if asOf.IsZero() {
+		return 0
+	}
+	return g.clock.Now().Sub(asOf) - time.Duration(m.AgeMs)*time.Millisecond
+}
--- a/internal/keyvalue/store.go
+++ b/internal/keyvalue/store.go
@@ -25,11 +25,14 @@
 	// Restored means that the service was restored from a copy since the requested revision,
 	// so that it may lack changes that it had reported.
 	Restored
+	// TooLong means that the changes since the requested revision are too many to be read in time. The current entries
+	// may not be.
+	TooLong
 )
 
 // String returns the kind as it appears in error messages.
 func (k Kind) String() string {
-	return [...]string{"unavailable", "unconfirmed", "compacted", "lease not found", "rejected", "restored"}[k]
+	return [...]string{"unavailable", "unconfirmed", "compacted", "lease not found", "rejected", "restored", "too long"}[k]
 }
 
 // Error is the error type of the package and of its adapters.
--- a/internal/link/count.go
+++ b/internal/link/count.go
@@ -12,10 +12,25 @@
 	network  Network
 	sent     atomic.Int64
 	received atomic.Int64
+	onBytes  func(sent, received int)
+}
+
+// CounterOption changes a Counter under construction.
+type CounterOption func(*Counter)
+
+// WithOnBytes sets a function that is called with the bytes of each write and read. It must not block.
+func WithOnBytes(f func(sent, received int)) CounterOption {
+	return func(c *Counter) { c.onBytes = f }
 }
 
 // NewCounter returns a Counter that opens connections on a network.
-func NewCounter(network Network) *Counter { return &Counter{network: network} }
+func NewCounter(network Network, options ...CounterOption) *Counter {
+	c := &Counter{network: network, onBytes: func(int, int) {}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
 
 // Sent returns the number of bytes written so far.
 func (c *Counter) Sent() int64 { return c.sent.Load() }
@@ -32,6 +47,38 @@
 	return &countedConn{Conn: raw, counter: c}, nil
 }
 
+func (c *Counter) add(sent, received int) {
+	c.sent.Add(int64(sent))
+	c.received.Add(int64(received))
+	c.onBytes(sent, received)
+}
+
+// ListenPacket listens for UDP packets whose bytes are counted.
+func (c *Counter) ListenPacket(address string) (net.PacketConn, error) {
+	raw, err := c.network.ListenPacket(address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedPacketConn{PacketConn: raw, counter: c}, nil
+}
+
+type countedPacketConn struct {
+	net.PacketConn
+	counter *Counter
+}
+
+func (c *countedPacketConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	n, from, err := c.PacketConn.ReadFrom(b)
+	c.counter.add(0, n)
+	return n, from, err
+}
+
+func (c *countedPacketConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	n, err := c.PacketConn.WriteTo(b, to)
+	c.counter.add(n, 0)
+	return n, err
+}
+
 type countedConn struct {
 	net.Conn
 	counter *Counter
@@ -39,13 +86,13 @@
 
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.counter.received.Add(int64(n))
+	c.counter.add(0, n)
 	return n, err
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.counter.sent.Add(int64(n))
+	c.counter.add(n, 0)
 	return n, err
 }
 
--- a/internal/member/info.go
+++ b/internal/member/info.go
@@ -56,6 +56,8 @@
 	Leaving bool `json:"Leaving,omitempty"`
 	// Protocol is what the host's build understands of messages between hosts.
 	Protocol int `json:"Protocol,omitempty"`
+	// LinkMbps is the rate of the link of the host's machine each way, 0 if it is not known.
+	LinkMbps float64 `json:"LinkMbps,omitempty"`
 }
 
 // ProtocolVersions is the Protocol from which on hosts check the health of targets in doubt and
@@ -66,6 +68,10 @@
 // that names the key of its caller by a digest.
 const ProtocolWorkspaces = 2
 
+// ProtocolUpdateFrames is the Protocol from which on hosts take store updates as frames, whose values are encoded by
+// their differences from earlier ones.
+const ProtocolUpdateFrames = 3
+
 // stampsPerMs is the number of stamps reserved for the refutations of each millisecond of
 // incarnation.
 const stampsPerMs = 1000
