internal/trace: count traffic that exceeds its share of a link in reasons

The command that operators start with showed calls that failed, and nothing of a full link that they waited for.

--- a/internal/trace/failures.go
+++ b/internal/trace/failures.go
@@ -17,15 +17,19 @@
 	messageServes          = "The host serves."
 	messageEnded           = "A call ended."
 	messageNoConfiguration = "A call came before any configuration."
+	messageExcess          = "Traffic between hosts exceeds its share of the link."
 )
 
 const (
 	statusUnavailable = 503
 	firstErrorStatus  = 300 // the lowest status that counts as a failure
+	// outcomeExcess is the Outcome of a line on traffic, which is about no call.
+	outcomeExcess = "Traffic"
 )
 
 // FailureCount is the number of calls that failed in one interval with the same region,
-// service, status, outcome and reason.
+// service, status, outcome and reason. With the outcome Traffic it is the number of times that traffic between hosts
+// exceeded its share of a link, for which calls may have waited.
 type FailureCount struct {
 	// At is the start of the interval.
 	At time.Time
@@ -55,7 +59,8 @@
 
 type regionLine struct {
 	Line
-	Region string `json:"Region"`
+	Region  string `json:"Region"`
+	Purpose string `json:"Purpose"` // of traffic
 }
 
 // Read counts the failed calls in the log of a host. Text before the JSON of a line is skipped.
@@ -73,6 +78,9 @@
 	switch {
 	case line.Message == messageServes:
 		c.regions[line.Host] = line.Region
+	case line.Message == messageExcess:
+		line.Outcome, line.Reason = outcomeExcess, "traffic for "+line.Purpose+" exceeds its share of the link"
+		c.count(line)
 	case line.Received:
 	case line.Message == messageNoConfiguration:
 		line.Status, line.Outcome, line.Reason = statusUnavailable, "NotRun", "no configuration yet"
