internal/bandwidth: allow messages the time of the narrower link

By reading: a host with a wide link allowed the response of one with a narrow link the time of its own, so that long differences would have failed and been asked for again. Hosts announce their rates; the narrower of the two counts. The spec has all pairs of a narrow, a wide and an unknown link.

--- a/internal/bandwidth/budget.go
+++ b/internal/bandwidth/budget.go
@@ -30,7 +30,7 @@
 
 // String returns the purpose as it appears in metrics.
 func (p Purpose) String() string {
-	return [...]string{"membership", "load reports", "store", "calls", "updates", "differences", "configurations", "items"}[p]
+	return [...]string{"membership", "reports", "store", "calls", "updates", "differences", "configurations", "items"}[p]
 }
 
 // IsBulk reports whether traffic for the purpose is paced.
@@ -148,24 +148,29 @@
 	return nil
 }
 
-// Timeout returns the time that a message of n bytes may take once it may be sent, for a peer whose link is like this
-// one's.
-func (b *Budget) Timeout(n int) time.Duration {
-	if b.rate == 0 {
-		return baseTimeout
-	}
-	return baseTimeout + b.bulkTime(n)
+// Timeout returns the time that a message of n bytes to a host may take once it may be sent. The link of that host has a
+// rate of peerMbps, 0 if it is not known.
+func (b *Budget) Timeout(n int, peerMbps float64) time.Duration {
+	return baseTimeout + b.BulkTime(n, peerMbps)
 }
 
-// bulkTime returns the time that n bytes of bulk take.
-func (b *Budget) bulkTime(n int) time.Duration {
-	return time.Duration(float64(n) / (bulkShare * b.rate) * float64(time.Second))
+// BulkTime returns the time that n bytes of bulk take between this host and one whose link has a rate of peerMbps, 0 if it
+// is not known. It is 0 if neither rate is known.
+func (b *Budget) BulkTime(n int, peerMbps float64) time.Duration {
+	narrowest := b.rate
+	if peer := peerMbps * bytesPerMbit; peer > 0 && (peer < narrowest || narrowest == 0) {
+		narrowest = peer
+	}
+	if narrowest == 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / (bulkShare * narrowest) * float64(time.Second))
 }
 
 // MaySpread reports whether a message of n bytes can be sent to a number of hosts in time. If not, each of them is
 // better off with a read of its own.
 func (b *Budget) MaySpread(n, hosts int) bool {
-	return b.rate == 0 || b.bulkTime(n*hosts) <= maxSpread
+	return b.BulkTime(n*hosts, 0) <= maxSpread
 }
 
 // MaxRead returns the bytes that one read of changes of the store may have, 0 for no bound.
--- a/internal/bandwidth/budget_test.go
+++ b/internal/bandwidth/budget_test.go
@@ -56,7 +56,7 @@
 		Expect(b.Send(context.Background(), bandwidth.Updates, 100<<20)).To(Succeed())
 		Expect(clock.now).To(Equal(began))
 		Expect(b.MaxRead()).To(BeZero())
-		Expect(b.Timeout(100 << 20)).To(Equal(b.Timeout(0)))
+		Expect(b.Timeout(100<<20, 0)).To(Equal(b.Timeout(0, 0)))
 	})
 
 	It("ends a wait with its context", func() {
@@ -75,11 +75,14 @@
 	})
 
 	// Guards against requests that end before their message can have been sent, and are sent again.
-	It("allows a message the time that it takes", func() {
-		b := bandwidth.NewBudget(clock, narrowMbps)
-		Expect(b.Timeout(narrowBytes)).To(BeNumerically(">", 4*time.Second))
-		Expect(b.Timeout(100)).To(BeNumerically("<", time.Second))
-	})
+	DescribeTable("allows a message the time that it takes", func(own, peer float64) {
+		b := bandwidth.NewBudget(clock, own)
+		Expect(b.Timeout(narrowBytes, peer)).To(BeNumerically("~", 4*time.Second, time.Second))
+		Expect(b.Timeout(100, peer)).To(BeNumerically("<", time.Second))
+	},
+		Entry("between narrow links", 10.0, 10.0), Entry("from a narrow link to a wide one", 10.0, 200.0), Entry("from a wide link to a narrow one", 200.0, 10.0),
+		Entry("from a narrow link", 10.0, 0.0), Entry("to a narrow link", 0.0, 10.0),
+	)
 
 	It("reports the purposes that exceed their share", func() {
 		b := bandwidth.NewBudget(clock, narrowMbps)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -77,7 +77,8 @@
 func (g *Gateway) callPeer(ctx context.Context, address, path string, purpose bandwidth.Purpose, body []byte, v any, headers ...func(*fasthttp.RequestHeader)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(peerTimeout+g.bandwidth.Timeout(len(body)), cancel)
+	mbps := g.linkOf(address)
+	timer := time.AfterFunc(peerTimeout+g.bandwidth.BulkTime(len(body), mbps), cancel)
 	defer timer.Stop()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -96,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	timer.Reset(peerTimeout + g.bandwidth.Timeout(max(0, response.Header.ContentLength())))
+	timer.Reset(peerTimeout + g.bandwidth.BulkTime(max(0, response.Header.ContentLength()), mbps))
 	data, err := response.ReadAllWithin(g.controlMemory, maxPeerResponseBytes)
 	if err != nil {
 		return err
@@ -119,6 +120,16 @@
 	}
 }
 
+// linkOf returns the rate of the link of the host at a peer address, in Mbit/s, 0 if it is not known.
+func (g *Gateway) linkOf(address string) float64 {
+	for _, m := range g.gossip.View().Members {
+		if m.PeerAddress == address {
+			return m.LinkMbps
+		}
+	}
+	return 0
+}
+
 type itemsBody struct {
 	Items []bulletin.Item `json:"Items"`
 }
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -301,7 +301,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, g.bandwidth.Timeout(len(body)))
+	ctx, cancel := context.WithTimeout(ctx, g.bandwidth.Timeout(len(body), to.LinkMbps))
 	defer cancel()
 	return g.callPeer(ctx, to.PeerAddress, path, bandwidth.Updates, body, reply)
 }
