internal/delta: keep encoders, and encode only long values by differences

A new encoder for each message cleared 1.4 MB of tables, and target reports of over 256 bytes would each have had one. A codec keeps the encoder and the decoder of values without a base; values of 4 KiB and more get a difference, all others are compressed with the frame.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -305,8 +305,9 @@
 	return true
 }
 
-// minBaseBytes is the least length of a value of which recipients get differences.
-const minBaseBytes = 256
+// MinBaseBytes is the least length of a value of which recipients get differences. Shorter ones, such as reports of
+// targets, are not worth the processor time.
+const MinBaseBytes = 4 << 10
 
 // Bases returns the known entries of the keys of some events, by key, of those that are worth a difference.
 func (c *Catalogue) Bases(events []keyvalue.Event) map[string]keyvalue.Entry {
@@ -314,7 +315,7 @@
 	defer c.mu.Unlock()
 	out := map[string]keyvalue.Entry{}
 	for _, e := range events {
-		if known, ok := c.entries[e.Key]; ok && len(known.Value) >= minBaseBytes {
+		if known, ok := c.entries[e.Key]; ok && len(known.Value) >= MinBaseBytes {
 			out[e.Key] = known
 		}
 	}
--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -36,22 +36,22 @@
 
 var _ = Describe("Encode", func() {
 	It("is undone by Decode with the same base", func() {
-		encoder := delta.NewEncoder()
+		codec := delta.NewCodec(limit)
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
 			base := rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(t, "base")
 			value := rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(t, "value")
 			if rapid.Bool().Draw(t, "like the base") {
 				value = bytes.Join([][]byte{base, value, base}, nil)
 			}
-			encoded, err := encoder.Encode(value, base)
+			encoded, err := codec.Encode(value, base)
 			if err != nil {
 				t.Fatal(err)
 			}
-			decoded, err := delta.Decode(encoded, base, limit)
+			decoded, err := codec.Decode(encoded, base)
 			if err != nil || !bytes.Equal(decoded, value) {
 				t.Fatalf("decoded %d of %d bytes: %v", len(decoded), len(value), err)
 			}
-			if _, err := delta.Decode(encoded, append([]byte("other"), base...), limit); kindOf(err) != delta.OtherBase {
+			if _, err := codec.Decode(encoded, append([]byte("other"), base...)); kindOf(err) != delta.OtherBase {
 				t.Fatal(err)
 			}
 		})
@@ -60,23 +60,25 @@
 	// Guards against configurations that are sent whole to all hosts of a data centre at each change.
 	DescribeTable("takes next to no bytes for what the base has", func(routes int) {
 		before, after := configuration(routes, 1), configuration(routes, 2)
-		encoded, err := delta.NewEncoder().Encode(after, before)
+		codec := delta.NewCodec(limit)
+		encoded, err := codec.Encode(after, before)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(encoded)).To(BeNumerically("<", 1000))
-		Expect(delta.Decode(encoded, before, limit)).To(Equal(after))
+		Expect(codec.Decode(encoded, before)).To(Equal(after))
 	}, Entry("of the usual length", 50), Entry("of the longest", 9000))
 })
 
 var _ = Describe("Decode", func() {
 	It("rejects what is no encoded value, or is too long", func() {
 		value := configuration(1000, 1)
-		encoded, err := delta.NewEncoder().Encode(value, nil)
+		codec := delta.NewCodec(limit)
+		encoded, err := codec.Encode(value, nil)
 		Expect(err).NotTo(HaveOccurred())
 		for n := range len(encoded) {
-			_, err := delta.Decode(encoded[:n], nil, limit)
+			_, err := codec.Decode(encoded[:n], nil)
 			Expect(kindOf(err)).To(Equal(delta.Malformed))
 		}
-		_, err = delta.Decode(encoded, nil, len(value)-1)
+		_, err = delta.NewCodec(len(value)-1).Decode(encoded, nil)
 		Expect(kindOf(err)).To(Equal(delta.Malformed))
 	})
 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,8 +142,8 @@
 	updates            *ring.Queue[catalogue.Update]
 	outboxes           *outboxes
 	updateBytes        *semaphore.Weighted // of the updates that are being sent
-	updateEncoder      *delta.Encoder
-	bandwidth          *bandwidth.Budget // of the traffic with other hosts and the store
+	codec              *delta.Codec        // of what hosts send one another
+	bandwidth          *bandwidth.Budget   // of the traffic with other hosts and the store
 	newerHosts         *ring.Queue[newerHost]
 	doubtsRaised       chan struct{} // wakes checkHealth
 	pathsSuspected     chan struct{} // wakes probePaths
@@ -253,7 +253,7 @@
 	g := &Gateway{
 		settings: s, protocol: adapters.Protocol, coordinatorTimeout: defaultCoordinatorTimeout, clock: clock.System{}, sinceBoot: clock.SinceBoot, log: logr.Discard(), network: link.NewSystem(host),
 		signer: seal.New(s.FleetKeys...), hangups: hangup.NewWatcher(), metrics: newMetrics(),
-		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), updateBytes: semaphore.NewWeighted(maxUpdateBytes), updateEncoder: delta.NewEncoder(), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
+		suspectedCrashes: ring.New[suspectedCrash](maxSuspectedCrashes), clearances: ring.New[dueClearance](maxSuspectedCrashes), updates: ring.New[catalogue.Update](maxQueuedUpdates), outboxes: newOutboxes(), updateBytes: semaphore.NewWeighted(maxUpdateBytes), codec: delta.NewCodec(maxPeerResponseBytes), newerHosts: ring.New[newerHost](maxNewerHosts), doubtsRaised: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		balancer: balance.NewBalancer(s.Region, rand.Uint64(), balance.WithPolicy(s.Policy)), regions: balance.NewRegions(),
 		budgets: map[string]*balance.RetryBudget{}, typicalTimes: map[string]time.Duration{},
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,7 +15,6 @@
 	"github.com/sequoiarack/sequoiarack/internal/bulletin"
 	"github.com/sequoiarack/sequoiarack/internal/catalogue"
 	"github.com/sequoiarack/sequoiarack/internal/core"
-	"github.com/sequoiarack/sequoiarack/internal/delta"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
@@ -108,7 +107,7 @@
 	case fasthttp.StatusOK:
 		content := data.Bytes
 		if response.Get(headerEncoding) == encodingDelta {
-			if content, err = delta.Decode(content, nil, maxPeerResponseBytes); err != nil {
+			if content, err = g.codec.Decode(content, nil); err != nil {
 				return err
 			}
 		}
@@ -203,7 +202,7 @@
 func (g *Gateway) writeBulk(ctx *fasthttp.RequestCtx, purpose bandwidth.Purpose, v any) {
 	body, err := json.Marshal(v)
 	if err == nil && string(ctx.Request.Header.Peek(headerEncoding)) == encodingDelta {
-		body, err = g.updateEncoder.Encode(body, nil)
+		body, err = g.codec.Encode(body, nil)
 		ctx.Response.Header.Set(headerEncoding, encodingDelta)
 	}
 	if err != nil {
--- a/internal/gateway/updateframe.go
+++ b/internal/gateway/updateframe.go
@@ -14,9 +14,6 @@
 // pathPeerUpdateFrame takes updates as frames. Hosts of builds before take them as JSON at pathPeerUpdate.
 const pathPeerUpdateFrame = "/peer/updates"
 
-// minEncodedBytes is the least length of a value that is encoded by itself, and so once for all recipients.
-const minEncodedBytes = 256
-
 // updateFrame is an update as it is sent, encoded as CBOR. It is the same for all recipients.
 type updateFrame struct {
 	After          int64        `cbor:"1,keyasint"`
@@ -53,7 +50,7 @@
 	ReadMs   int64  `cbor:"4,keyasint,omitempty"`
 	QueuedMs int64  `cbor:"5,keyasint,omitempty"`
 	PacedMs  int64  `cbor:"6,keyasint,omitempty"`
-	Frame    []byte `cbor:"7,keyasint"` // of Encode of package delta, without a base
+	Frame    []byte `cbor:"7,keyasint"` // encoded by package delta, without a base
 }
 
 // updateReply is the response to a frame whose values cannot be decoded.
@@ -85,16 +82,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return g.updateEncoder.Encode(body, nil)
+	return g.codec.Encode(body, nil)
 }
 
 func (g *Gateway) encodeEvent(e keyvalue.Event, base keyvalue.Entry) (eventFrame, error) {
 	f := eventFrame{Key: e.Key, CreateRevision: e.CreateRevision, ModRevision: e.ModRevision, Lease: e.Lease, Deleted: e.Deleted}
-	if len(e.Value) < minEncodedBytes {
+	if len(e.Value) < catalogue.MinBaseBytes {
 		f.Value = e.Value
 		return f, nil
 	}
-	encoded, err := g.updateEncoder.Encode(e.Value, base.Value)
+	encoded, err := g.codec.Encode(e.Value, base.Value)
 	f.Encoded = encoded
 	if len(base.Value) > 0 {
 		f.Base = base.ModRevision
@@ -105,7 +102,7 @@
 // decodeUpdate returns the update of an encoded frame. It fails with kind OtherBase of package delta if this host lacks the
 // base of a value.
 func (g *Gateway) decodeUpdate(encoded []byte) (catalogue.Update, error) {
-	body, err := delta.Decode(encoded, nil, maxUpdateBytes)
+	body, err := g.codec.Decode(encoded, nil)
 	if err != nil {
 		return catalogue.Update{}, err
 	}
@@ -119,7 +116,7 @@
 			Key: frame.Key, Value: frame.Value, CreateRevision: frame.CreateRevision, ModRevision: frame.ModRevision, Lease: frame.Lease,
 		}}
 		if len(frame.Encoded) > 0 {
-			if e.Value, err = delta.Decode(frame.Encoded, g.baseOf(frame, u.Events), maxUpdateBytes); err != nil {
+			if e.Value, err = g.codec.Decode(frame.Encoded, g.baseOf(frame, u.Events)); err != nil {
 				return catalogue.Update{}, err
 			}
 		}
--- a/internal/gateway/updateframe_test.go
+++ b/internal/gateway/updateframe_test.go
@@ -23,7 +23,7 @@
 
 // newFramingGateway returns the parts of a gateway that encode and decode updates, with some entries.
 func newFramingGateway(entries ...keyvalue.Entry) *Gateway {
-	g := &Gateway{catalogue: catalogue.New(plainDecoder{}, nil), updateEncoder: delta.NewEncoder()}
+	g := &Gateway{catalogue: catalogue.New(plainDecoder{}, nil), codec: delta.NewCodec(1 << 20)}
 	var events []keyvalue.Event
 	for _, e := range entries {
 		events = append(events, keyvalue.Event{Entry: e})
