--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -30,19 +30,19 @@
 	// reader may wait.
 	changesTimeout = 2500 * time.Millisecond
 	readTimeout    = 4 * time.Second
-	// maxNewsAge is how long after the reading host asked the store this host relies on what
-	// it was told. It is longer than two calls and a pause of the reading host; together with
+	// maxUpdateAge is how long after the reading host asked the store this host relies on its
+	// updates. It is longer than two calls and a pause of the reading host; together with
 	// a call of its own it stays well within the 3 s in which a change must be in force.
-	maxNewsAge = 2100 * time.Millisecond
+	maxUpdateAge = 2100 * time.Millisecond
 	// pollInterval is the interval at which a host checks whether to read the store itself.
 	pollInterval = 100 * time.Millisecond
 	// peerPause is the pause between two requests to other hosts while the store does not
 	// answer.
 	peerPause = 400 * time.Millisecond
-	// peerContactAge is the age of this host's news after which it asks other hosts although no call to the store
+	// peerContactAge is the age of this host's last contact after which it asks other hosts although no call to the store
 	// has failed: one may hang until changesTimeout. It exceeds what hosts in touch reach.
 	peerContactAge = 2500 * time.Millisecond
-	// MaxContactAge bounds the ages that other hosts state: older news proves nothing, and larger numbers overflow.
+	// MaxContactAge bounds the ages that other hosts state: an older contact proves nothing, and larger numbers overflow.
 	MaxContactAge = time.Hour
 )
 
@@ -108,7 +108,7 @@
 
 // Follower keeps a Catalogue up to date from the store, and from other hosts while the
 // store does not answer. One host of a group reads the store and sends updates to the
-// others. A host whose news is older than maxNewsAge reads the store itself.
+// others. A host whose last update is older than maxUpdateAge reads the store itself.
 type Follower struct {
 	catalogue *Catalogue
 	reader    keyvalue.Reader
@@ -207,7 +207,7 @@
 		if state.first && f.catalogue.Snapshot().Revision > 0 {
 			state.fullRead, state.first, state.updated = false, false, now // another host sent the full state
 		}
-		if !now.Before(state.nextCall) && (state.fullRead || state.reader || state.omitted || now.Sub(state.updated) > maxNewsAge) {
+		if !now.Before(state.nextCall) && (state.fullRead || state.reader || state.omitted || now.Sub(state.updated) > maxUpdateAge) {
 			state = f.readOnce(ctx, state)
 			state.omitted = state.omitted && state.failed
 			state.nextCall = f.clock.Now().Add(f.pause(state))
@@ -245,7 +245,7 @@
 
 // HandleUpdate applies an update from the host that reads the store. A host that has missed
 // an earlier update applies the events without adopting the revision; it reads the store
-// itself once its news is older than maxNewsAge. The update has all changes until asOf, zero if that
+// itself once its last update is older than maxUpdateAge. The update has all changes until asOf, zero if that
 // is not known.
 func (f *Follower) HandleUpdate(u Update, asOf Contact) UpdateResult {
 	if u.Partial {
