internal/catalogue: leave out reads of what a host has, and keep the end of an outage

By reading: an update that leaves out its changes made hosts read that had them, and lost the mark of the first update after an outage, by which targets whose entries expired stay in use for a while. The spec of the first fails without the change.

--- a/internal/catalogue/follow.go
+++ b/internal/catalogue/follow.go
@@ -255,17 +255,19 @@
 		}
 		return Incomplete
 	}
-	if u.Omitted {
-		select {
-		case f.omitted <- struct{}{}:
-		default:
-		}
-		return ReadsStore
-	}
 	known := f.catalogue.Snapshot().Revision
 	if u.StoreRecovered {
 		f.catalogue.StoreRecovered()
 	}
+	if u.Omitted {
+		if known < u.Revision {
+			select {
+			case f.omitted <- struct{}{}:
+			default:
+			}
+		}
+		return ReadsStore
+	}
 	if known < u.After {
 		f.catalogue.Apply(u.Events, 0, FromReader)
 		f.log.Info("An update starts after the revision of this host.", "Known", known, "After", u.After, "Revision", u.Revision)
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -263,7 +263,7 @@
 		if u.Partial {
 			return false, nil // the other data centre has a reader of its own
 		}
-		if frame, err = g.encodeUpdate(catalogue.Update{After: u.After, Revision: u.Revision, Omitted: true}, false); err != nil {
+		if frame, err = g.encodeUpdate(catalogue.Update{After: u.After, Revision: u.Revision, StoreRecovered: u.StoreRecovered, Omitted: true}, false); err != nil {
 			return false, err
 		}
 	}
