internal/gateway: end a server only once its listener is closed

The goroutine that closes the listener when the context ends was not awaited; the server ends as soon as its accept fails. CloseWith waits for it. Processes are not affected, as their end closes all.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -391,8 +391,7 @@
 
 // run serves until ctx is done, and then closes the listener.
 func (s namedServer) run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
-	defer stop()
+	defer link.CloseWith(ctx, s.listener)()
 	err := s.server.Serve(s.listener)
 	if ctx.Err() != nil {
 		return nil
