internal/permission: decide where bodies go by homes and by how recently they were shown to be in force

Callers of south and west got hosts of the north from directories of the north although its homes had moved away. Cause: a host used the table at hand as a permission, however old that was. A host that had stood still or was cut off knows no live region but its own, and names itself.

Package permission is the one place that decides: homes can't be asked without the evidence (witness, age) that they are in force. The witness is the store, by its answer to this host or, through a query, to another one; or hosts of other regions that have lost the store as well and know no newer configuration. After 2.5 s evidence proves nothing, since a configuration must be in force within 3 s. A host that may not have heard yet what others know, as it has started or was paused, does not vouch. Calls in the own region need no proof, so that a region that is cut off serves its callers. A directory that would name another region asks first (250 ms at most, joined, once a second), and by the answers often learns that the region of its caller is alive.

Answers of the directory are logged and counted with witness and age, and refusals with their reason; /state has the evidence.

--- a/internal/balance/doubt.go
+++ b/internal/balance/doubt.go
@@ -251,6 +251,14 @@
 	return max(0, catchUpTime-now.Sub(b.resumedAt))
 }
 
+// ResumedAt returns when this host was paused last, as far as it has noticed; zero if it was not.
+func (b *Balancer) ResumedAt(now time.Time) time.Time {
+	if b.wasPaused(now) {
+		return now
+	}
+	return b.resumedAt
+}
+
 // wasPaused reports whether the process was paused since the last poll. While it catches up after a
 // pause, a short further one counts as well.
 func (b *Balancer) wasPaused(now time.Time) bool {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -104,9 +104,6 @@
 // limitWait returns how long a caller should wait for room at the targets with a limit that the
 // call may be sent to, 0 if there are none. The caller holds g.mu.
 func (c *activeCall) limitWait(now time.Time) time.Duration {
-	if !c.route.MayServe(c.gateway.settings.Region) {
-		return 0
-	}
 	wait, _ := c.gateway.balancer.LimitWait(now, c.service) // 0 if there is none
 	return wait
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/balance"
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
 	"github.com/sequoiarack/sequoiarack/internal/core"
+	"github.com/sequoiarack/sequoiarack/internal/permission"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
@@ -287,10 +288,11 @@
 	}
 	regions := c.candidateRegions()
 	_, c.work.Detour = c.neighbour()
+	mayRun := c.mayRun()
 	input.Work.Detour = c.work.Detour
 	c.gateway.mu.Lock()
 	defer c.gateway.mu.Unlock()
-	if c.route.MayServe(c.gateway.settings.Region) {
+	if mayRun {
 		input.Local, input.HasLocal = c.gateway.balancer.Choose(now, c.work, c.triedTargets)
 	}
 	if !c.fromPeer {
@@ -301,7 +303,9 @@
 		if backoff, ok := c.gateway.balancer.BackoffLeft(now, c.service); ok && (input.BackoffLeft == 0 || backoff < input.BackoffLeft) {
 			input.BackoffLeft = backoff
 		}
-		input.LimitWait = c.limitWait(now)
+		if mayRun {
+			input.LimitWait = c.limitWait(now)
+		}
 	}
 	if input.HasLocal && len(input.Remote) > 0 {
 		home, others := c.gateway.balancer.RegionLoad(now, c.service), c.gateway.regions.Loads(now, input.Remote, c.service)
@@ -311,7 +315,8 @@
 	return input, balance.Decide(input)
 }
 
-// candidateRegions returns the live regions that may serve the call and have not been tried.
+// candidateRegions returns the live regions that may serve the call, as has been shown lately, and have not been
+// tried.
 func (c *activeCall) candidateRegions() []string {
 	if len(c.triedRegions) >= maxRegionsPerCall {
 		return nil
@@ -327,8 +332,14 @@
 		if withVersion != nil && !withVersion[region] {
 			continue
 		}
-		if c.route.MayServe(region) && !slices.Contains(c.triedRegions, region) && serving[region] {
+		if slices.Contains(c.triedRegions, region) || !serving[region] {
+			continue
+		}
+		switch verdict, _ := c.gateway.permits(permission.Forward, c.route.Homes(), region); verdict {
+		case permission.Granted:
 			out = append(out, region)
+		case permission.Unproven:
+			c.gateway.metrics.add("forwards_unproven_total", 1)
 		}
 	}
 	return out
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -94,11 +94,13 @@
 
 // recordForward counts a call that is sent to another host, and logs one that not every region may serve.
 func (c *activeCall) recordForward(to member.Info) {
-	g, restricted := c.gateway, c.route.Restricted()
+	g, restricted := c.gateway, c.route.Homes().Restricted()
 	g.metrics.add(fmt.Sprintf("forwarded_calls_total{region=%q,homes=\"%t\"}", to.Region, restricted), 1)
 	if restricted {
+		e := g.evidence()
 		g.log.Info("A call with home regions is forwarded.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions, "WorkspaceHomes", c.route.WorkspaceRegions, "Version", c.version,
-			"Region", g.settings.Region, "To", to.Host, "ToRegion", to.Region, "Repeat", c.arrivals > 0)
+			"Region", g.settings.Region, "To", to.Host, "ToRegion", to.Region, "Repeat", c.arrivals > 0,
+			"Witness", e.Witness.String(), "EvidenceAgeMs", e.Age.Milliseconds())
 	}
 }
 
@@ -330,7 +332,7 @@
 	}
 	senderVersion, err := strconv.ParseUint(string(h.Peek(core.HeaderVersion)), 10, 64)
 	c.identify(string(h.Peek(headerCredential)))
-	if !c.route.MayServe(g.settings.Region) {
+	if !c.mayRun() {
 		c.recordOutsideHomes(passed, senderVersion)
 	}
 	if err != nil || senderVersion > c.version {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 //	standstill.go   times at which the host or its machine stood still
 //	paths.go        paths of hosts to the targets of their region
 //	storecontact.go answers of the store to other hosts
+//	evidence.go     what shows that the configuration is in force
+//	homes.go        homes that change while a call lasts
 //	newer.go        configurations that another host has before this one
 //	traffic.go      bytes between hosts by purpose
 //	updates.go      store updates that one host reads for its data centre
@@ -173,8 +175,9 @@
 	lastMessages    map[string]messageStamp  // by host
 	sentReports     sentReports
 	storeContact    storeContact // of other hosts
-	// versionsQueriedAt is the end of the last query for newer configurations.
+	// versionsQueriedAt is the end of the last query for newer configurations, and testimony what it brought.
 	versionsQueriedAt time.Time
+	testimony         testimony
 	// suspendedFor is how long the machine was suspended in all, by the difference of two clocks.
 	suspendedFor time.Duration
 	// resumedAt is when the last suspension was noticed.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
+	"github.com/sequoiarack/sequoiarack/internal/permission"
 )
 
 const (
@@ -186,10 +188,14 @@
 	}
 	query := g.protocol.ReadDirectoryQuery(ctx.QueryArgs())
 	query.Region = cmp.Or(query.Region, g.settings.DataCentres[query.DataCentre])
-	region, addresses := g.directoryAddresses(query)
-	g.recordDirectoryAnswer(query, region, len(addresses))
-	body, err := g.protocol.WriteDirectory(addresses, g.settings.directoryTTL())
-	if err != nil || len(addresses) == 0 {
+	answer := g.findHosts(query)
+	if !answer.namesOwn(query) {
+		g.seekEvidence(context.Background()) // whose wait is bounded
+		answer = g.findHosts(query)
+	}
+	g.recordDirectoryAnswer(query, answer)
+	body, err := g.protocol.WriteDirectory(answer.addresses, g.settings.directoryTTL())
+	if err != nil || len(answer.addresses) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -198,57 +204,90 @@
 	g.closeWhenLeaving(ctx)
 }
 
+// directoryAnswer has the hosts that a caller is to use.
+type directoryAnswer struct {
+	region    string
+	addresses []string
+	// evidence is what shows that the region may serve the name, if it is not the caller's.
+	evidence permission.Evidence
+	// refusal says why no region is named, empty if one is.
+	refusal string
+}
+
+// namesOwn reports whether the answer names hosts of the caller's region.
+func (a directoryAnswer) namesOwn(q DirectoryQuery) bool {
+	return a.region == q.Region && len(a.addresses) > 0
+}
+
+// The reasons for which the directory names no hosts, also for metrics.
+const (
+	refusalNoConfiguration = "no configuration"
+	refusalNoHome          = "no host of a home is known"
+	refusalUnproven        = "the homes are not proven"
+)
+
 // recordDirectoryAnswer counts a response of the directory, and logs one that names another region than the
 // caller's, or none.
-func (g *Gateway) recordDirectoryAnswer(q DirectoryQuery, region string, hosts int) {
+func (g *Gateway) recordDirectoryAnswer(q DirectoryQuery, a directoryAnswer) {
 	named := "none"
 	switch {
-	case hosts > 0 && region == q.Region:
+	case a.namesOwn(q):
 		named = "own"
-	case hosts > 0:
+	case len(a.addresses) > 0:
 		named = "other"
 	}
 	g.metrics.add(fmt.Sprintf("directory_answers_total{region=%q}", named), 1)
-	if named == "own" {
+	switch named {
+	case "own":
 		return
+	case "other":
+		g.metrics.observeAge(fmt.Sprintf("directory_evidence_age_ms{witness=%q}", a.evidence.Witness), a.evidence.Age)
+	default:
+		g.metrics.add(fmt.Sprintf("directory_refusals_total{reason=%q}", a.refusal), 1)
 	}
-	g.log.Info("The directory names no host of the caller's region.", "Name", q.Name, "CallerRegion", q.Region, "Region", region, "Hosts", hosts,
+	g.log.Info("The directory names no host of the caller's region.", "Name", q.Name, "CallerRegion", q.Region, "Region", a.region, "Hosts", len(a.addresses),
+		"Refusal", a.refusal, "Witness", a.evidence.Witness.String(), "EvidenceAgeMs", a.evidence.Age.Milliseconds(), "NewsAgeMs", g.newsAgeMs(g.clock.Now()),
 		"Homes", g.homeRegionCounts(q.Name), "Version", g.configurationVersion(), "KnownHosts", len(g.gossip.View().Members),
 		"LiveRegions", g.liveRegions(), "UptimeMs", g.clock.Now().Sub(g.started).Milliseconds())
 }
 
-// directoryAddresses returns the caller addresses of the hosts that a caller is to use, and their region: those
-// of its data centre if that is in its region and there are enough, else those of its region, else those of a region to which
-// the body of any call to the queried name may go. It returns none if this host knows none of them.
-func (g *Gateway) directoryAddresses(q DirectoryQuery) (region string, addresses []string) {
+// findHosts returns the caller addresses of the hosts that a caller is to use: those of its data centre if that is in
+// its region and there are enough, else those of its region, else those of a region to which the body of any call to the
+// queried name may go. It returns none if this host knows none of them.
+func (g *Gateway) findHosts(q DirectoryQuery) directoryAnswer {
 	byDataCentre, byRegion := g.callerAddresses()
-	region, addresses = q.Region, byDataCentre[q.DataCentre]
-	if g.settings.DataCentres[q.DataCentre] != q.Region || len(addresses) < minDataCentreHosts {
-		addresses = byRegion[q.Region]
+	answer := directoryAnswer{region: q.Region, addresses: byDataCentre[q.DataCentre]}
+	if g.settings.DataCentres[q.DataCentre] != q.Region || len(answer.addresses) < minDataCentreHosts {
+		answer.addresses = byRegion[q.Region]
 	}
-	if len(addresses) == 0 {
-		region = g.regionInPlaceOf(q, byRegion)
-		addresses = byRegion[region]
+	if len(answer.addresses) == 0 {
+		answer = g.hostsInPlaceOf(q, byRegion)
 	}
-	return region, addresses[:min(len(addresses), maxDirectoryHosts)]
+	answer.addresses = answer.addresses[:min(len(answer.addresses), maxDirectoryHosts)]
+	return answer
 }
 
-// regionInPlaceOf returns the region whose hosts a caller is to use if its own has none, the host's own one
-// by preference, or an empty string if there is none.
-func (g *Gateway) regionInPlaceOf(q DirectoryQuery, byRegion map[string][]string) string {
+// hostsInPlaceOf returns the hosts that a caller is to use if its own region has none, those of this host's region by
+// preference.
+func (g *Gateway) hostsInPlaceOf(q DirectoryQuery, byRegion map[string][]string) directoryAnswer {
 	table := g.catalogue.Snapshot().Table
 	if table == nil {
-		return ""
+		return directoryAnswer{refusal: refusalNoConfiguration}
 	}
-	regions := slices.DeleteFunc(slices.Sorted(maps.Keys(byRegion)), func(region string) bool { return !table.MayServeAll(q.Name, region) })
-	switch {
-	case len(regions) == 0:
-		return ""
-	case slices.Contains(regions, g.settings.Region):
-		return g.settings.Region
-	default:
-		return regions[0]
+	homes, refusal := table.Homes(q.Name), refusalNoHome
+	regions := slices.Sorted(maps.Keys(byRegion))
+	if i := slices.Index(regions, g.settings.Region); i >= 0 {
+		regions = slices.Insert(slices.Delete(regions, i, i+1), 0, g.settings.Region)
+	}
+	for _, region := range regions {
+		switch verdict, evidence := g.permits(permission.Name, homes, region); verdict {
+		case permission.Granted:
+			return directoryAnswer{region: region, addresses: byRegion[region], evidence: evidence}
+		case permission.Unproven:
+			refusal = refusalUnproven
+		}
 	}
+	return directoryAnswer{refusal: refusal, evidence: g.evidence()}
 }
 
 // callerAddresses returns the caller addresses of the hosts that serve calls, by data centre
--- a/internal/gateway/newer.go
+++ b/internal/gateway/newer.go
@@ -13,7 +13,6 @@
 	"github.com/sequoiarack/sequoiarack/internal/continuation"
 	"github.com/sequoiarack/sequoiarack/internal/core"
 	"github.com/sequoiarack/sequoiarack/internal/exchange"
-	"github.com/sequoiarack/sequoiarack/internal/keyvalue"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 )
 
@@ -42,18 +41,6 @@
 	return true
 }
 
-// serveConfiguration responds with the configuration in force, as an update without a revision, unless the
-// sender has it.
-func (g *Gateway) serveConfiguration(ctx *fasthttp.RequestCtx) {
-	event, ok := g.catalogue.Configuration()
-	known, err := strconv.ParseUint(string(ctx.Request.Header.Peek(headerKnown)), 10, 64)
-	if !ok || err == nil && g.configurationVersion() <= known {
-		ctx.SetStatusCode(fasthttp.StatusNoContent)
-		return
-	}
-	g.writeBulk(ctx, bandwidth.Configurations, catalogue.Update{Partial: true, Events: []keyvalue.Event{event}})
-}
-
 // fetchConfiguration adopts the configuration of a host that has a newer version. Concurrent requests are
 // made once.
 func (g *Gateway) fetchConfiguration(ctx context.Context, from member.Info, version uint64) {
@@ -64,11 +51,11 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), newerTimeout) // other calls wait for it, too
 		defer cancel()
 		g.metrics.add("newer_configurations_fetched_total", 1)
-		var u catalogue.Update
-		if err := g.callPeer(ctx, from.PeerAddress, pathPeerConfiguration, bandwidth.Configurations, nil, &u); err != nil {
+		var b configurationBody
+		if err := g.callPeer(ctx, from.PeerAddress, pathPeerConfiguration, bandwidth.Configurations, nil, &b); err != nil {
 			return nil, err
 		}
-		g.follower.HandleUpdate(u, catalogue.Contact{})
+		g.follower.HandleUpdate(b.Update, catalogue.Contact{})
 		g.log.Info("Another host had a newer configuration.", "From", from.Host, "Version", version, "InForce", g.configurationVersion())
 		return nil, nil
 	})
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -80,6 +80,12 @@
 	return now.Sub(contact), !contact.IsZero()
 }
 
+// hasRecentNews reports whether this host has all changes of the store of before a short time.
+func (g *Gateway) hasRecentNews() bool {
+	age, known := g.newsAge(g.clock.Now())
+	return known && age < contactTimeout
+}
+
 // newsAgeMs returns newsAge in milliseconds, -1 if it is not known.
 func (g *Gateway) newsAgeMs(now time.Time) int64 {
 	if age, known := g.newsAge(now); known {
@@ -123,6 +129,8 @@
 	Revision      int64
 	// NewsAgeMs is how long ago the host had all changes of the store, -1 if it never had.
 	NewsAgeMs int64
+	// Evidence is what shows that the configuration is in force.
+	Evidence EvidenceState
 	// StoreReader is the host that reads the store for the data centre.
 	StoreReader string
 	Evacuated   map[string]bool
@@ -142,6 +150,15 @@
 	Quotas []allowance.Row
 }
 
+// EvidenceState is what shows that the configuration of a host is in force.
+type EvidenceState struct {
+	// Witness is Store, Hosts or Nobody.
+	Witness string
+	AgeMs   int64
+	// Regions are the other regions whose hosts vouch for it, if Witness is Hosts.
+	Regions []string `json:",omitempty"`
+}
+
 // Dump returns the state of the host.
 func (g *Gateway) Dump() State {
 	snapshot := g.catalogue.Snapshot()
@@ -154,6 +171,8 @@
 	if snapshot.Table != nil {
 		d.Version, d.VersionSource, d.VersionAgeMs = snapshot.Table.Version(), snapshot.Origin.Source, now.Sub(snapshot.Origin.At).Milliseconds()
 	}
+	e := g.evidence()
+	d.Evidence = EvidenceState{Witness: e.Witness.String(), AgeMs: e.Age.Milliseconds(), Regions: e.Regions}
 	d.NewsAgeMs, d.StoreReader = g.newsAgeMs(now), g.storeReaderOf(g.settings.DataCentre)
 	d.Quotas = g.quotas.dump(now)
 	g.mu.Lock()
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -248,7 +248,7 @@
 
 // neighbour returns a host of the own region to which the call may be passed.
 func (c *activeCall) neighbour() (member.Info, bool) {
-	if c.fromPeer || !c.gateway.lacksPaths() || len(c.triedNeighbours) >= maxNeighboursPerCall || !c.route.MayServe(c.gateway.settings.Region) {
+	if c.fromPeer || !c.gateway.lacksPaths() || len(c.triedNeighbours) >= maxNeighboursPerCall || !c.mayRun() {
 		return member.Info{}, false
 	}
 	return c.gateway.pickHost(func(m member.Info) bool {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -98,7 +98,7 @@
 // hasAlternative reports whether a target that is not excluded is predicted to send the first
 // byte well within the time left, and the retry budget allows another attempt.
 func (c *activeCall) hasAlternative(exclude []string) bool {
-	if !c.route.MayServe(c.gateway.settings.Region) {
+	if !c.mayRun() {
 		return false
 	}
 	now := c.gateway.clock.Now()
--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/sequoiarack/sequoiarack/internal/permission"
 )
 
 // Kind is the kind of calls on a route. It determines whether a call may be repeated.
@@ -68,22 +70,9 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
-// MayServe reports whether a region may serve the route.
-func (r *Route) MayServe(region string) bool {
-	return isHome(r.HomeRegions, region) && isHome(r.WorkspaceRegions, region)
-}
-
-// Restricted reports whether there are regions that may not serve the route.
-func (r *Route) Restricted() bool { return len(r.HomeRegions)+len(r.WorkspaceRegions) > 0 }
-
-// SameHomes reports whether the same regions may serve both routes.
-func (r *Route) SameHomes(other *Route) bool {
-	return slices.Equal(r.HomeRegions, other.HomeRegions) && slices.Equal(r.WorkspaceRegions, other.WorkspaceRegions)
-}
-
-// isHome reports whether a region is in a list of homes, of which an empty one has all regions.
-func isHome(homes []string, region string) bool {
-	return len(homes) == 0 || slices.Contains(homes, region)
+// Homes returns the regions that may serve the route.
+func (r *Route) Homes() permission.Homes {
+	return permission.NewHomes(r.HomeRegions, r.WorkspaceRegions)
 }
 
 // Service is a set of targets that answer the same calls.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/sequoiarack/sequoiarack/internal/permission"
 	"github.com/sequoiarack/sequoiarack/internal/route"
 )
 
@@ -26,6 +27,11 @@
 	return route.Document{Version: version, Routes: routes, Services: []route.Service{{Name: "desk"}, {Name: "other"}}}
 }
 
+// isHome reports whether calls with homes may run in a region.
+func isHome(homes permission.Homes, region string) bool {
+	return permission.Decide(permission.Run, homes, region, region, permission.Evidence{}) == permission.Granted
+}
+
 var _ = Describe("a table", func() {
 	It("finds the route with the longest path prefix, with or without a port in the host", func() {
 		table, err := route.NewTable(document(1,
@@ -53,14 +59,14 @@
 			route.Route{Name: "a", PathPrefix: "/a/", HomeRegions: []string{"north", "south"}},
 			route.Route{Name: "c", PathPrefix: "/c/", HomeRegions: []string{"south", "west"}}))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(table.MayServeAll("shop.example", "south")).To(BeTrue())
-		Expect(table.MayServeAll("shop.example:8080", "south")).To(BeTrue())
-		Expect(table.MayServeAll("shop.example", "north")).To(BeFalse())
-		Expect(table.MayServeAll("shop.example", "east")).To(BeFalse())
-		Expect(table.MayServeAll("other.example", "south")).To(BeFalse())
+		Expect(isHome(table.Homes("shop.example"), "south")).To(BeTrue())
+		Expect(isHome(table.Homes("shop.example:8080"), "south")).To(BeTrue())
+		Expect(isHome(table.Homes("shop.example"), "north")).To(BeFalse())
+		Expect(isHome(table.Homes("shop.example"), "east")).To(BeFalse())
+		Expect(isHome(table.Homes("other.example"), "south")).To(BeFalse())
 		table, err = route.NewTable(document(1, open))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(table.MayServeAll("shop.example", "east")).To(BeTrue())
+		Expect(isHome(table.Homes("shop.example"), "east")).To(BeTrue())
 	})
 })
 
@@ -99,7 +105,7 @@
 	)
 
 	It("lets no region serve all routes of the host", func() {
-		Expect(newTable().MayServeAll("shop.example", "north")).To(BeFalse())
+		Expect(isHome(newTable().Homes("shop.example"), "north")).To(BeFalse())
 		Expect(newTable().HomeRegionCounts("shop.example")).To(Equal(map[string]int{"north": 1}))
 	})
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiarack/sequoiarack/internal/permission"
 )
 
 // Table finds the route of a call. It is immutable.
@@ -94,11 +96,21 @@
 	return t.hosts[name]
 }
 
-// MayServeAll reports whether a region may serve every route of a host. It returns false for a host
-// without routes, or of which one is withheld.
-func (t *Table) MayServeAll(host, region string) bool {
+// Homes returns the regions that may serve every route of a host: none for a host without routes, or of which
+// one is withheld.
+func (t *Table) Homes(host string) permission.Homes {
 	list := t.entriesOf(host)
-	return len(list) > 0 && !slices.ContainsFunc(list, func(e entry) bool { return e.route == nil || !e.route.MayServe(region) })
+	if len(list) == 0 {
+		return permission.Nowhere()
+	}
+	var out permission.Homes
+	for _, e := range list {
+		if e.route == nil {
+			return permission.Nowhere()
+		}
+		out = out.WithAll(e.route.Homes())
+	}
+	return out
 }
 
 // LongestStream returns the longest time for which a stream lasts, or fallback if a streaming route
--- a/internal/route/workspace_test.go
+++ b/internal/route/workspace_test.go
@@ -32,10 +32,10 @@
 			before := c.Route
 			r := c.Route.For(c.Workspace)
 			Expect(r.Priority).To(Equal(c.Priority))
-			Expect(r.Restricted()).To(Equal(c.Restricted))
+			Expect(r.Homes().Restricted()).To(Equal(c.Restricted))
 			serving := []string{}
 			for _, region := range []string{"east", "north", "south"} {
-				if r.MayServe(region) {
+				if isHome(r.Homes(), region) {
 					serving = append(serving, region)
 				}
 			}
