internal/gateway: ask for newer homes for calls of any route, and at the receiver too

A call of a route that got homes while its host was away ran where the route had run before (HOME). Cause: a host with old news asked others only about routes that its old table restricts, and a host that gets a forwarded call asked nobody. That a route has no homes is known of a moment like any homes.

Every call now asks where there is no recent evidence.

--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -4,9 +4,7 @@
 // came. A host that cannot show that its configuration is in force asks the others first. It returns the reply to a call
 // that cannot go on.
 func (c *activeCall) followHomes() (reply, bool) {
-	if !c.fromPeer && c.route.Homes().Restricted() {
-		c.gateway.seekEvidence(c.ctx)
-	}
+	c.gateway.seekEvidence(c.ctx)
 	if !c.homesChanged() {
 		return reply{}, false
 	}
