internal/trace: count refused queries to the directory among the reasons

A caller whose region is lost and whom no directory names a host sends no call, so the counts of failed calls did not show it.

--- a/internal/trace/failures.go
+++ b/internal/trace/failures.go
@@ -17,19 +17,23 @@
 	messageServes          = "The host serves."
 	messageEnded           = "A call ended."
 	messageNoConfiguration = "A call came before any configuration."
+	messageDirectory       = "The directory names no host of the caller's region."
 	messageExcess          = "Traffic between hosts exceeds its share of the link."
 )
 
 const (
 	statusUnavailable = 503
 	firstErrorStatus  = 300 // the lowest status that counts as a failure
-	// outcomeExcess is the Outcome of a line on traffic, which is about no call.
-	outcomeExcess = "Traffic"
+	// outcomeExcess and outcomeDirectory are the Outcomes of lines on traffic and on queries to the directory, which are
+	// about no call.
+	outcomeExcess    = "Traffic"
+	outcomeDirectory = "Directory"
 )
 
 // FailureCount is the number of calls that failed in one interval with the same region,
 // service, status, outcome and reason. With the outcome Traffic it is the number of times that traffic between hosts
-// exceeded its share of a link, for which calls may have waited.
+// exceeded its share of a link, for which calls may have waited, and with the outcome Directory the number of refused
+// queries to the directory.
 type FailureCount struct {
 	// At is the start of the interval.
 	At time.Time
@@ -61,6 +65,7 @@
 	Line
 	Region  string `json:"Region"`
 	Purpose string `json:"Purpose"` // of traffic
+	Refusal string `json:"Refusal"` // of the directory
 }
 
 // Read counts the failed calls in the log of a host. Text before the JSON of a line is skipped.
@@ -81,6 +86,9 @@
 	case line.Message == messageExcess:
 		line.Outcome, line.Reason = outcomeExcess, "traffic for "+line.Purpose+" exceeds its share of the link"
 		c.count(line)
+	case line.Message == messageDirectory && line.Refusal != "":
+		line.Status, line.Outcome, line.Reason = statusUnavailable, outcomeDirectory, line.Refusal
+		c.count(line)
 	case line.Received:
 	case line.Message == messageNoConfiguration:
 		line.Status, line.Outcome, line.Reason = statusUnavailable, "NotRun", "no configuration yet"
