internal/gateway: ask other hosts anew after a suspension, and script the evidence in virtual time

After a suspension of its machine, a host that had asked others less than a second before asked nobody for up to a second, so its directory refused, and calls with homes were not forwarded, although others would have answered at once. It was the same if the machine was suspended while others were asked.

Cause: what the others had said was dropped, but not the time of the question, which spaces the next one.

Change: both are dropped. TestEvidence plays news, pauses, suspensions and answers of hosts from testdata/evidence.json, and checks witness, age and verdicts.

Before the change, "a suspension of the machine ends all evidence" and "a suspension while hosts are asked" failed; after it all 12 cases passed, 20 times with the race detector. With the age ignored in Evidence.Recent, 11 of 12 fail; the other one is about what a suspension forgets.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -139,8 +139,8 @@
 func (g *Gateway) recordTestimony(t testimony, suspendedFor time.Duration) {
 	g.noticeSuspension()
 	g.mu.Lock()
-	g.versionsQueriedAt = g.clock.Now()
 	if g.suspendedFor == suspendedFor {
+		g.versionsQueriedAt = g.clock.Now()
 		if g.testimony.storeAsOf.After(t.storeAsOf) {
 			t.storeAsOf = g.testimony.storeAsOf
 		}
--- a/internal/gateway/standstill.go
+++ b/internal/gateway/standstill.go
@@ -30,7 +30,7 @@
 	for i := range g.sentReports.times {
 		g.sentReports.times[i] = g.sentReports.times[i].Add(-suspended)
 	}
-	g.testimony = testimony{}
+	g.testimony, g.versionsQueriedAt = testimony{}, time.Time{}
 	g.follower.ForgetContact()
 	g.balancer.Resume(now)
 	g.quotas.invalidate(now)
