internal/gateway: decide on a forward once more when its connection is open

A body left for a former home of its route 3.1 s after all hosts, its own too, had the configuration that moved the homes (HOME). Cause: the decision was made before the connection was opened, which may take long, and a host may stand still meanwhile; sends to targets are checked after it, forwards were not. Now both are. A forward that is withdrawn counts as not sent.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiarack/sequoiarack/internal/balance"
@@ -17,6 +18,7 @@
 	"github.com/sequoiarack/sequoiarack/internal/link"
 	"github.com/sequoiarack/sequoiarack/internal/member"
 	"github.com/sequoiarack/sequoiarack/internal/memory"
+	"github.com/sequoiarack/sequoiarack/internal/permission"
 	"github.com/sequoiarack/sequoiarack/internal/seal"
 	"github.com/sequoiarack/sequoiarack/internal/upload"
 )
@@ -82,7 +84,7 @@
 	request := c.newRegionRequest()
 	defer fasthttp.ReleaseRequest(request)
 	start := c.gateway.clock.Now()
-	response, err := c.gateway.peerPool.Do(a.ctx, host.PeerAddress, request)
+	response, err := c.gateway.peerPool.DoIf(a.ctx, host.PeerAddress, request, func() error { return c.checkForward(host) })
 	if err != nil {
 		return nil, a.forwardFailed(host, start, err)
 	}
@@ -92,6 +94,19 @@
 	return a.readForwardResponse(host, response)
 }
 
+// checkForward reports why the body of a call may not go to a host any more, after the time that it took to open a
+// connection.
+func (c *activeCall) checkForward(to member.Info) error {
+	verdict, _ := c.gateway.permits(permission.Forward, c.route.Homes(), to.Region) // before it asks for newer homes, which may come meanwhile
+	if c.homesChanged() {
+		return errors.New("the homes of the call have changed")
+	}
+	if to.Region != c.gateway.settings.Region && verdict != permission.Granted {
+		return errors.New("nothing shows that the homes of the call are in force")
+	}
+	return nil
+}
+
 // recordForward counts a call that is sent to another host, and logs one that not every region may serve.
 func (c *activeCall) recordForward(to member.Info) {
 	g, restricted := c.gateway, c.route.Homes().Restricted()
@@ -143,6 +158,11 @@
 	c.addStep("host %s: %v", host.Host, err)
 	cancelled := a.ctx.Err() != nil
 	a.end(balance.Abandoned)
+	if kind == exchange.Withdrawn {
+		c.gateway.metrics.add("withdrawn_sends_total", 1)
+		c.retryHost(host)
+		return unsentResult("the configuration has changed")
+	}
 	if !cancelled && !link.IsExhausted(err) {
 		c.gateway.recordHostFailure(host, sentAt, err)
 		c.retryRegion(host.Region)
