internal/gateway: ask others in time, and name the only region that can be asked

Two hosts of each other region are asked, as one may not answer; what a region said holds for 2.5 s even if a later question to it has no answer; evidence of hosts is renewed after 1.5 s, so that no call waits for it; the evidence is read before the homes that it is about.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -335,7 +335,7 @@
 		if slices.Contains(c.triedRegions, region) || !serving[region] {
 			continue
 		}
-		switch verdict, _ := c.gateway.permits(permission.Forward, c.route.Homes(), region); verdict {
+		switch c.gateway.permits(permission.Forward, c.route.Homes(), region) {
 		case permission.Granted:
 			out = append(out, region)
 		case permission.Unproven:
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -28,15 +28,40 @@
 	// last one after which calls wait for the next.
 	versionQueryInterval = time.Second
 	maxVersionQueryAge   = 2 * time.Second
+	// evidenceRefreshAge is the age from which on evidence of hosts is sought anew.
+	evidenceRefreshAge = 1500 * time.Millisecond
+	// hostsAskedPerRegion is the number of hosts of another region that are asked, as some may not answer.
+	hostsAskedPerRegion = 2
 )
 
 // testimony is what other hosts have said of the configuration in force here: none had a newer one.
 type testimony struct {
 	// storeAsOf is the time until which a host had all changes of the store.
 	storeAsOf time.Time
-	// askedAt is when hosts without recent news were asked, and regions are theirs, without the own one.
-	askedAt time.Time
-	regions []string
+	// vouchedAt is when hosts without recent news were asked last that answered, by region, without the own one.
+	vouchedAt map[string]time.Time
+}
+
+// withLater returns the testimony with what was said later.
+func (t testimony) withLater(later testimony) testimony {
+	out := testimony{storeAsOf: t.storeAsOf, vouchedAt: map[string]time.Time{}}
+	if later.storeAsOf.After(out.storeAsOf) {
+		out.storeAsOf = later.storeAsOf
+	}
+	maps.Copy(out.vouchedAt, t.vouchedAt)
+	maps.Copy(out.vouchedAt, later.vouchedAt)
+	return out
+}
+
+// hosts returns the evidence of the hosts that have vouched lately.
+func (t testimony) hosts(now time.Time) permission.Evidence {
+	e := permission.Evidence{Witness: permission.Hosts}
+	for _, region := range slices.Sorted(maps.Keys(t.vouchedAt)) {
+		if age := now.Sub(t.vouchedAt[region]); age < permission.MaxAge {
+			e.Age, e.Regions = max(e.Age, age), append(e.Regions, region)
+		}
+	}
+	return e
 }
 
 // evidence returns what shows that the configuration of this host is in force. The caller must not hold g.mu.
@@ -49,32 +74,50 @@
 		asOf = g.testimony.storeAsOf
 	}
 	stored := permission.Evidence{Witness: permission.Store, Age: now.Sub(asOf)}
-	hosts := permission.Evidence{Witness: permission.Hosts, Age: now.Sub(g.testimony.askedAt), Regions: g.testimony.regions}
+	hosts := g.testimony.hosts(now)
 	switch {
 	case !asOf.IsZero() && stored.Recent():
 		return stored
-	case len(hosts.Regions) > 0 && hosts.Recent():
+	case len(hosts.Regions) > 0:
 		return hosts
 	default:
-		return permission.Evidence{}
+		asked := !g.versionsQueriedAt.IsZero() && now.Sub(g.versionsQueriedAt) < permission.MaxAge
+		return permission.Evidence{Isolated: asked && g.runningFor(now) >= permission.MaxAge}
 	}
 }
 
-// permits returns whether bodies may go to a region, and what shows it. The caller must not hold g.mu.
-func (g *Gateway) permits(use permission.Use, homes permission.Homes, region string) (permission.Verdict, permission.Evidence) {
-	e := g.evidence()
-	return permission.Decide(use, homes, g.settings.Region, region, e), e
+// permits returns whether bodies may go to a region. The caller must not hold g.mu.
+func (g *Gateway) permits(use permission.Use, homes permission.Homes, region string) permission.Verdict {
+	return permission.Decide(use, homes, g.fleet(), region, g.evidence())
+}
+
+// fleet returns the regions of the fleet as this host sees them.
+func (g *Gateway) fleet() permission.Fleet {
+	return permission.Fleet{Own: g.settings.Region, Regions: slices.Compact(slices.Sorted(maps.Values(g.settings.DataCentres)))}
 }
 
 // mayRun reports whether the call may run at targets of the own region.
 func (c *activeCall) mayRun() bool {
-	verdict, _ := c.gateway.permits(permission.Run, c.route.Homes(), c.gateway.settings.Region)
-	return verdict == permission.Granted
+	return c.gateway.permits(permission.Run, c.route.Homes(), c.gateway.settings.Region) == permission.Granted
 }
 
-// seekEvidence asks other hosts whether the configuration is in force, unless that has been shown lately.
+// recordRegionHeard records that a host of another region was heard. If nothing was heard of the region for long, calls ask
+// again at once whether the configuration is in force, however short ago nobody answered. The caller holds g.mu.
+func (g *Gateway) recordRegionHeard(region string, at time.Time) {
+	last := g.regionLastSeen[region]
+	if !at.After(last) {
+		return
+	}
+	g.regionLastSeen[region] = at
+	if at.Sub(last) > regionSilenceTimeout {
+		g.versionsQueriedAt = time.Time{}
+	}
+}
+
+// seekEvidence asks other hosts whether the configuration is in force, unless that has been shown lately. What hosts
+// have shown is asked anew in time, so that calls need not wait.
 func (g *Gateway) seekEvidence(ctx context.Context) {
-	if !g.evidence().Recent() {
+	if e := g.evidence(); !e.Recent() || e.Witness == permission.Hosts && e.Age > evidenceRefreshAge {
 		g.queryVersions(ctx)
 	}
 }
@@ -104,15 +147,16 @@
 	}
 }
 
-// askHosts asks a host of each region for a newer configuration, and returns what those say that have none.
-func (g *Gateway) askHosts(ctx context.Context) (t testimony, suspendedFor time.Duration) {
+// askHosts asks hosts of each region for a newer configuration, and returns what those say that have none. askedAt is
+// when, and suspendedFor how long the machine had been suspended until then.
+func (g *Gateway) askHosts(ctx context.Context) (t testimony, askedAt time.Time, suspendedFor time.Duration) {
 	g.noticeSuspension()
 	g.mu.Lock()
-	t.askedAt, suspendedFor = g.clock.Now(), g.suspendedFor
+	askedAt, suspendedFor = g.clock.Now(), g.suspendedFor
 	g.mu.Unlock()
+	t.vouchedAt = map[string]time.Time{}
 	known := g.configurationVersion()
-	regions := map[string]bool{}
-	var mu sync.Mutex // guards t and regions
+	var mu sync.Mutex // guards t
 	var wait sync.WaitGroup
 	for _, host := range g.versionQueryHosts() {
 		wait.Go(func() {
@@ -122,55 +166,63 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if contactAge != nil && t.askedAt.Add(-*contactAge).After(t.storeAsOf) {
-				t.storeAsOf = t.askedAt.Add(-*contactAge)
+			if contactAge != nil && askedAt.Add(-*contactAge).After(t.storeAsOf) {
+				t.storeAsOf = askedAt.Add(-*contactAge)
 			}
 			if host.Region != g.settings.Region {
-				regions[host.Region] = true
+				t.vouchedAt[host.Region] = askedAt
 			}
 		})
 	}
 	wait.Wait()
-	t.regions = slices.Sorted(maps.Keys(regions))
-	return t, suspendedFor
+	return t, askedAt, suspendedFor
 }
 
 // recordTestimony records what hosts have said, unless the machine was suspended while they were asked.
-func (g *Gateway) recordTestimony(t testimony, suspendedFor time.Duration) {
+func (g *Gateway) recordTestimony(t testimony, askedAt time.Time, suspendedFor time.Duration) {
 	g.noticeSuspension()
 	g.mu.Lock()
 	if g.suspendedFor == suspendedFor {
-		g.versionsQueriedAt = g.clock.Now()
-		if g.testimony.storeAsOf.After(t.storeAsOf) {
-			t.storeAsOf = g.testimony.storeAsOf
-		}
-		g.testimony = t
-		for _, region := range t.regions {
-			if t.askedAt.After(g.regionLastSeen[region]) {
-				g.regionLastSeen[region] = t.askedAt
-			}
+		g.testimony = g.testimony.withLater(t)
+		for region := range t.vouchedAt {
+			g.recordRegionHeard(region, askedAt)
 		}
+		g.versionsQueriedAt = askedAt
 	}
 	g.mu.Unlock()
 	e := g.evidence()
 	g.metrics.add(fmt.Sprintf("configuration_evidence_total{witness=%q}", e.Witness), 1)
 	g.log.Info("Other hosts were asked whether the configuration is in force.", "Version", g.configurationVersion(), "Witness", e.Witness.String(),
-		"EvidenceAgeMs", e.Age.Milliseconds(), "Regions", t.regions, "NewsAgeMs", g.newsAgeMs(g.clock.Now()))
+		"EvidenceAgeMs", e.Age.Milliseconds(), "Answered", slices.Sorted(maps.Keys(t.vouchedAt)), "NewsAgeMs", g.newsAgeMs(g.clock.Now()))
 }
 
-// versionQueryHosts returns a host of each region, a random one of those in use if there are any. Suspected ones are
-// among them, as a host that was away suspects the others.
-func (g *Gateway) versionQueryHosts() map[string]member.Info {
+// versionQueryHosts returns random hosts of each region, those in use by preference. Suspected ones are among them, as a
+// host that was away suspects the others.
+func (g *Gateway) versionQueryHosts() []member.Info {
 	members := slices.Clone(g.gossip.View().Members)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	out := map[string]member.Info{}
+	slices.SortStableFunc(members, func(a, b member.Info) int {
+		switch {
+		case a.InUse() == b.InUse():
+			return 0
+		case a.InUse():
+			return -1
+		default:
+			return 1
+		}
+	})
+	var out []member.Info
+	chosen := map[string]int{}
 	for _, m := range members {
-		if m.Host == g.settings.Host || m.Status == member.Gone || isReplaced(m, members) {
-			continue
+		most := hostsAskedPerRegion
+		if m.Region == g.settings.Region {
+			most = 1
 		}
-		if found, ok := out[m.Region]; !ok || m.InUse() && !found.InUse() {
-			out[m.Region] = m
+		if m.Host == g.settings.Host || m.Status == member.Gone || chosen[m.Region] == most || isReplaced(m, members) {
+			continue
 		}
+		chosen[m.Region]++
+		out = append(out, m)
 	}
 	return out
 }
@@ -226,7 +278,7 @@
 	case ok && (err != nil || g.configurationVersion() > known):
 		body.Events = append(body.Events, event)
 		g.writeBulk(ctx, bandwidth.Configurations, body)
-	case !g.hasRecentNews() && g.runningFor() < permission.MaxAge:
+	case !g.mayVouch():
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default: // not paced, as calls wait for it
 		g.writeJSON(ctx, body)
@@ -234,14 +286,21 @@
 	}
 }
 
-// runningFor returns for how long the process has run without a pause.
-func (g *Gateway) runningFor() time.Duration {
-	now := g.clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// runningFor returns for how long the process has run without a pause. The caller holds g.mu.
+func (g *Gateway) runningFor(now time.Time) time.Duration {
 	since := g.balancer.ResumedAt(now)
 	if g.started.After(since) {
 		since = g.started
 	}
 	return now.Sub(since)
 }
+
+// mayVouch reports whether the host has had the time to hear what the others know.
+func (g *Gateway) mayVouch() bool {
+	if g.hasRecentNews() {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.runningFor(g.clock.Now()) >= permission.MaxAge
+}
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -171,7 +171,7 @@
 func newAskingGateway(fleet *scriptedFleet, hosts []member.Info) *Gateway {
 	k := clock.System{}
 	g := &Gateway{
-		settings: Settings{Host: "north-0", Region: "north"}, clock: k, started: k.Now(), log: logr.Discard(), metrics: newMetrics(), signer: seal.New("key"),
+		settings: Settings{Host: "north-0", Region: "north", DataCentres: map[string]string{"north": "north", "south": "south", "west": "west"}}, clock: k, started: k.Now(), log: logr.Discard(), metrics: newMetrics(), signer: seal.New("key"),
 		balancer: balance.NewBalancer("north", 1), lastMessages: map[string]messageStamp{}, regionLastSeen: map[string]time.Time{}, avoidUntil: map[string]time.Time{},
 		codec: delta.NewCodec(maxPeerResponseBytes), bandwidth: bandwidth.NewBudget(k, 0),
 	}
@@ -218,7 +218,7 @@
 	for _, use := range []permission.Use{permission.Name, permission.Forward, permission.Run} {
 		for _, region := range []string{"north", "south", "west"} {
 			if verdict, ok := want.Verdicts[use.String()+" "+region]; ok {
-				got, _ := g.permits(use, homes, region)
+				got := g.permits(use, homes, region)
 				expect(got.String()).To(Equal(verdict), "step %d: %s %s", n, use, region)
 			}
 		}
@@ -286,3 +286,40 @@
 		s.check(t, n, g, fleet.asked)
 	}
 }
+
+// Guards against hosts that vouch for a configuration although they may not have heard yet what the others know (HOME).
+func TestMayVouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 4 * time.Second
+		expect := NewWithT(t).Expect
+		fleet := &scriptedFleet{hosts: map[string]string{}, answers: map[string]scriptedAnswer{}, asked: map[string]int{}}
+		g := newAskingGateway(fleet, nil)
+		defer g.controlPool.Close()
+		g.follower.HandleUpdate(catalogue.Update{Revision: 9, Events: []keyvalue.Event{configurationEvent(9, nil)}}, g.follower.NewContact())
+		vouches := func() bool {
+			ctx := &fasthttp.RequestCtx{}
+			ctx.Request.Header.Set(headerKnown, "9")
+			g.serveConfiguration(ctx)
+			return ctx.Response.StatusCode() == http.StatusOK
+		}
+		poll := func(d time.Duration) {
+			for range d / doubtPollInterval {
+				time.Sleep(doubtPollInterval)
+				g.balancer.DueDoubts(g.clock.Now())
+			}
+		}
+		poll(permission.MaxAge - doubtPollInterval)
+		expect(vouches()).To(BeFalse(), "it has just started")
+		poll(doubtPollInterval)
+		expect(vouches()).To(BeTrue())
+		time.Sleep(pause)
+		expect(vouches()).To(BeFalse(), "it was paused")
+		poll(time.Second)
+		expect(vouches()).To(BeFalse(), "it was paused a short time ago")
+		poll(permission.MaxAge)
+		expect(vouches()).To(BeTrue())
+		time.Sleep(pause)
+		g.follower.HandleUpdate(catalogue.Update{Revision: 9}, g.follower.NewContact().At(g.clock.Now()))
+		expect(vouches()).To(BeTrue(), "it was paused, and has news from the store")
+	})
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -97,7 +97,7 @@
 // checkForward reports why the body of a call may not go to a host any more, after the time that it took to open a
 // connection.
 func (c *activeCall) checkForward(to member.Info) error {
-	verdict, _ := c.gateway.permits(permission.Forward, c.route.Homes(), to.Region) // before it asks for newer homes, which may come meanwhile
+	verdict := c.gateway.permits(permission.Forward, c.route.Homes(), to.Region) // before it asks for newer homes, which may come meanwhile
 	if c.homesChanged() {
 		return errors.New("the homes of the call have changed")
 	}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -270,24 +270,26 @@
 // hostsInPlaceOf returns the hosts that a caller is to use if its own region has none, those of this host's region by
 // preference.
 func (g *Gateway) hostsInPlaceOf(q DirectoryQuery, byRegion map[string][]string) directoryAnswer {
+	evidence := g.evidence() // before the homes, which may be newer
 	table := g.catalogue.Snapshot().Table
 	if table == nil {
 		return directoryAnswer{refusal: refusalNoConfiguration}
 	}
-	homes, refusal := table.Homes(q.Name), refusalNoHome
+	homes := table.Homes(q.Name)
+	refusal := refusalNoHome
 	regions := slices.Sorted(maps.Keys(byRegion))
 	if i := slices.Index(regions, g.settings.Region); i >= 0 {
 		regions = slices.Insert(slices.Delete(regions, i, i+1), 0, g.settings.Region)
 	}
 	for _, region := range regions {
-		switch verdict, evidence := g.permits(permission.Name, homes, region); verdict {
+		switch permission.Decide(permission.Name, homes, g.fleet(), region, evidence) {
 		case permission.Granted:
 			return directoryAnswer{region: region, addresses: byRegion[region], evidence: evidence}
 		case permission.Unproven:
 			refusal = refusalUnproven
 		}
 	}
-	return directoryAnswer{refusal: refusal, evidence: g.evidence()}
+	return directoryAnswer{refusal: refusal, evidence: evidence}
 }
 
 // callerAddresses returns the caller addresses of the hosts that serve calls, by data centre
--- a/internal/gateway/peermessage.go
+++ b/internal/gateway/peermessage.go
@@ -279,8 +279,8 @@
 	if m.ContactAgeMs != nil && *m.ContactAgeMs >= 0 {
 		g.storeContact.observe(heardAt.Add(-time.Duration(*m.ContactAgeMs) * time.Millisecond))
 	}
-	if m.Region != g.settings.Region && heardAt.After(g.regionLastSeen[m.Region]) {
-		g.regionLastSeen[m.Region] = heardAt
+	if m.Region != g.settings.Region {
+		g.recordRegionHeard(m.Region, heardAt)
 	}
 	if m.Region != g.settings.Region {
 		g.regions.Update(now, m.Region, m.Services)
--- a/internal/permission/homes.go
+++ b/internal/permission/homes.go
@@ -36,6 +36,11 @@
 	return h.none == other.none && slices.EqualFunc(h.lists, other.lists, slices.Equal[[]string])
 }
 
+// includeAll reports whether all of the given regions are homes, false for none.
+func (h Homes) includeAll(regions []string) bool {
+	return len(regions) > 0 && !slices.ContainsFunc(regions, func(region string) bool { return !h.include(region) })
+}
+
 // include reports whether a region is a home.
 func (h Homes) include(region string) bool {
 	return !h.none && !slices.ContainsFunc(h.lists, func(list []string) bool { return !slices.Contains(list, region) })
--- a/internal/permission/permission.go
+++ b/internal/permission/permission.go
@@ -35,6 +35,15 @@
 	Age time.Duration
 	// Regions are the other regions whose hosts know no newer configuration, if the witness is Hosts.
 	Regions []string
+	// Isolated means that no host of another region has answered lately, although the host was running and asked, if the
+	// witness is Nobody.
+	Isolated bool
+}
+
+// Fleet has the regions of a fleet as a host of the region Own sees them.
+type Fleet struct {
+	Own     string
+	Regions []string // all of them
 }
 
 // Recent reports whether the evidence is young enough to prove something.
@@ -87,13 +96,16 @@
 // String returns the verdict's name.
 func (v Verdict) String() string { return [...]string{"Outside", "Unproven", "Granted"}[v] }
 
-// Decide returns whether bodies may go to a region, by a host of the region own. Calls run in the own region
-// without proof, so that a region that is cut off from all others serves its callers.
-func Decide(use Use, homes Homes, own, region string, e Evidence) Verdict {
+// Decide returns whether bodies may go to a region, as a host of the fleet decides. Calls run in the own region
+// without proof, so that a region that is cut off from all others serves its callers. A region that can't ask any other,
+// as they may all be lost, is named without proof where all regions are homes.
+func Decide(use Use, homes Homes, f Fleet, region string, e Evidence) Verdict {
 	switch {
 	case !homes.include(region):
 		return Outside
-	case use == Run && region == own, e.proves(own, region):
+	case use == Run && region == f.Own, e.proves(f.Own, region):
+		return Granted
+	case use == Name && region == f.Own && e.Witness == Nobody && e.Isolated && homes.includeAll(f.Regions):
 		return Granted
 	default:
 		return Unproven
--- a/internal/permission/permission_test.go
+++ b/internal/permission/permission_test.go
@@ -22,6 +22,7 @@
 		Homes                               [][]string
 		Nowhere                             bool
 		AgeMs                               int64
+		Isolated                            bool
 		Regions                             []string
 	}
 	if err := json.Unmarshal(data, &cases); err != nil {
@@ -42,8 +43,9 @@
 			}
 			Expect(uses).To(HaveKey(c.Use))
 			Expect(witnesses).To(HaveKey(c.Witness))
-			e := permission.Evidence{Witness: witnesses[c.Witness], Age: time.Duration(c.AgeMs) * time.Millisecond, Regions: c.Regions}
-			Expect(permission.Decide(uses[c.Use], homes, "own", c.Region, e).String()).To(Equal(c.Verdict))
+			e := permission.Evidence{Witness: witnesses[c.Witness], Age: time.Duration(c.AgeMs) * time.Millisecond, Regions: c.Regions, Isolated: c.Isolated}
+			fleet := permission.Fleet{Own: "own", Regions: []string{"north", "own", "south", "west"}}
+			Expect(permission.Decide(uses[c.Use], homes, fleet, c.Region, e).String()).To(Equal(c.Verdict))
 		})
 	}
 })
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -29,7 +29,7 @@
 
 // isHome reports whether calls with homes may run in a region.
 func isHome(homes permission.Homes, region string) bool {
-	return permission.Decide(permission.Run, homes, region, region, permission.Evidence{}) == permission.Granted
+	return permission.Decide(permission.Run, homes, permission.Fleet{Own: region}, region, permission.Evidence{}) == permission.Granted
 }
 
 var _ = Describe("a table", func() {
