internal/gateway: vouch for no configuration while there is none

A host that has run for 2.5 s without any configuration answered others that it knew no newer one, and they took that for evidence that theirs is in force in its region.

Cause: "none" was treated like "none newer". Change: such a host responds with 503, like one that has just started.

TestServeConfiguration: "no configuration" got 200 before the change and gets 503 with it; the four other cases passed before and after.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -270,8 +270,8 @@
 }
 
 // serveConfiguration responds with the configuration in force, as an update without a revision, or without it if the
-// sender has it. A host that has no recent news and may not have heard yet what others know, as it has started or
-// was paused, does not vouch for its configuration.
+// sender has it. A host that has no configuration, or has no recent news and may not have heard yet what others know, as
+// it has started or was paused, does not vouch for that of the sender.
 func (g *Gateway) serveConfiguration(ctx *fasthttp.RequestCtx) {
 	contactAge := g.contactAgeMs() // read first, as the configuration must not be older
 	event, ok := g.catalogue.Configuration()
@@ -281,7 +281,7 @@
 	case ok && (err != nil || g.configurationVersion() > known):
 		body.Events = append(body.Events, event)
 		g.writeBulk(ctx, bandwidth.Configurations, body)
-	case !g.mayVouch():
+	case !ok || !g.mayVouch():
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default: // not paced, as calls wait for it
 		g.writeJSON(ctx, body)
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -323,3 +323,39 @@
 		expect(vouches()).To(BeTrue(), "it was paused, and has news from the store")
 	})
 }
+
+// Guards against a host without a configuration that vouches for that of another one (HOME).
+func TestServeConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		version           uint64
+		contact           bool
+		uptime, pausedFor time.Duration
+		status            int
+	}{
+		{"no configuration", 0, false, time.Minute, 0, http.StatusServiceUnavailable},
+		{"just started, without news", 9, false, time.Second, 0, http.StatusServiceUnavailable},
+		{"just started, with news", 9, true, time.Second, 0, http.StatusOK},
+		{"long without news", 9, false, time.Minute, 0, http.StatusOK},
+		{"was suspended", 9, true, time.Minute, time.Minute, http.StatusServiceUnavailable},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := &scriptedFleet{}
+			g := newAskingGateway(fleet, nil)
+			defer g.controlPool.Close()
+			time.Sleep(c.uptime)
+			if c.version > 0 {
+				contact := g.follower.NewContact()
+				if c.contact {
+					contact = contact.At(g.clock.Now())
+				}
+				g.follower.HandleUpdate(catalogue.Update{Revision: int64(c.version), Events: []keyvalue.Event{configurationEvent(c.version, nil)}}, contact)
+			}
+			fleet.suspended.Add(c.pausedFor.Milliseconds())
+			ctx := &fasthttp.RequestCtx{}
+			ctx.Request.Header.Set(headerKnown, "9")
+			g.serveConfiguration(ctx)
+			NewWithT(t).Expect(ctx.Response.StatusCode()).To(Equal(c.status), c.name)
+		})
+	}
+}
