internal/gateway: send bodies with homes only where their target has just answered

Callers of routes with homes saw 502, and their bodies had arrived outside the homes: an address of an ended target belonged to a target of another region, and hosts went by their list. A host that had stood still was one of them, but also one that ran without calls: the entry of a crashed target outlives the reuse time, so a recent list proves nothing.

The body of such a call now goes out on an open connection only if its target has answered on that connection, or has answered a request that was sent less than ReuseSeconds ago; otherwise the target is asked for its ID first, by its health path and once for all calls that wait. Another ID retires the target, and the call goes on elsewhere.

--- a/cmd/sequoiarack/cmd/gateway.go
+++ b/cmd/sequoiarack/cmd/gateway.go
@@ -119,6 +119,7 @@
 	{"memory-mb", "memory of the machine, in millions of bytes", func(s *gateway.Settings) *float64 { return &s.MemoryMB }},
 	{"link-mbps", "rate of the machine's link each way, in Mbit/s", func(s *gateway.Settings) *float64 { return &s.LinkMbps }},
 	{"revocation-ms", "how long a withdrawn key may work, in milliseconds", func(s *gateway.Settings) *float64 { return &s.RevocationMs }},
+	{"reuse-seconds", "how long the address of a target that has ended belongs to nobody, in seconds", func(s *gateway.Settings) *float64 { return &s.ReuseSeconds }},
 	{"quota-overage", "part by which calls may exceed a quota", func(s *gateway.Settings) *float64 { return &s.QuotaOverage }},
 	{"quota-window-seconds", "period of the quotas, in seconds", func(s *gateway.Settings) *float64 { return &s.QuotaWindowSeconds }},
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -164,12 +164,34 @@
 		request := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(request)
 		request.SetRequestURI("http://" + address + "/")
-		_, err := pool.DoIf(ctx, address, request, func() error { return errors.New("too late") })
+		_, err := pool.DoIf(ctx, address, request, func(string) error { return errors.New("too late") })
 		Expect(kindOf(err)).To(Equal(exchange.Withdrawn))
 		Expect(get(ctx, pool, address)).To(Equal("ok"))
 		Expect(connections.Load()).To(Equal(int64(1)))
 	})
 
+	// Guards against bodies that go to another peer than the one that has answered at an address.
+	It("tells the check which peer has answered on the connection", func() {
+		address, _ := servePeer(func(_ int64, c net.Conn) {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nPeer: d1\r\nContent-Length: 0\r\n\r\n")
+		})
+		pool := exchange.NewPool(&net.Dialer{}, exchange.WithPeer(func(h *fasthttp.ResponseHeader) string { return string(h.Peek("Peer")) }))
+		DeferCleanup(pool.Close)
+		request := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(request)
+		request.SetRequestURI("http://" + address + "/")
+		var peers []string
+		for range 2 {
+			response, err := pool.DoIf(ctx, address, request, func(peer string) error {
+				peers = append(peers, peer)
+				return nil
+			})
+			Expect(err).NotTo(HaveOccurred())
+			response.Close()
+		}
+		Expect(peers).To(Equal([]string{"", "d1"}))
+	})
+
 	It("reports an unanswered request when the peer closes the connection", func() {
 		address, _ := servePeer(func(_ int64, c net.Conn) { _ = c.Close() })
 		_, err := get(ctx, pool, address)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -47,7 +47,8 @@
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
 	repeatAfter    time.Duration // see WithRepeat; 0 for never
 	onRepeat       func()
-	onMalformed    func(address string, err error) // nil for none
+	onMalformed    func(address string, err error)         // nil for none
+	peerOf         func(h *fasthttp.ResponseHeader) string // nil for none
 
 	sent atomic.Uint64 // requests, if numbered
 
@@ -96,6 +97,11 @@
 	return func(p *Pool) { p.onMalformed = f }
 }
 
+// WithPeer sets a function that returns the ID that a peer states in its responses, empty for none. See DoIf.
+func WithPeer(f func(h *fasthttp.ResponseHeader) string) Option {
+	return func(p *Pool) { p.peerOf = f }
+}
+
 // WithOpenTimeout bounds the time to open a connection.
 func WithOpenTimeout(d time.Duration) Option { return func(p *Pool) { p.openTimeout = d } }
 
@@ -116,6 +122,7 @@
 	used     bool          // by an earlier exchange
 	idleTime time.Duration // maximum time between two exchanges
 	carried  []requestID   // of the requests sent so far, in a pool with a once header
+	peer     string        // ID that the last response stated, empty before the first one
 }
 
 // requestID is the hash of the ID of a request, which the response repeats.
@@ -147,18 +154,19 @@
 	if p.repeatAfter > 0 {
 		return p.doWithRepeat(ctx, address, request)
 	}
-	return p.DoIf(ctx, address, request, func() error { return nil })
+	return p.DoIf(ctx, address, request, func(string) error { return nil })
 }
 
-// DoIf is like Do, but calls check once a connection is open, which may take long. If check
-// fails, nothing is sent, and the error is of kind Withdrawn.
-func (p *Pool) DoIf(ctx context.Context, address string, request *fasthttp.Request, check func() error) (*Response, error) {
+// DoIf is like Do, but calls check once a connection is open, which may take long, with the ID that the peer
+// stated in the last response on that connection, empty for a new one. If check fails, nothing is sent, and the
+// error is of kind Withdrawn.
+func (p *Pool) DoIf(ctx context.Context, address string, request *fasthttp.Request, check func(peer string) error) (*Response, error) {
 	const op = "exchange"
 	c, err := p.get(ctx, address, p.idOf(request))
 	if err != nil {
 		return nil, wrap(op, Unsent, err)
 	}
-	if err := check(); err != nil {
+	if err := check(c.peer); err != nil {
 		p.put(c)
 		return nil, wrap(op, Withdrawn, err)
 	}
@@ -222,6 +230,9 @@
 			return errors.New("an answer names no request")
 		}
 		if r.pool.matches(request, &r.Header) {
+			if r.pool.peerOf != nil {
+				r.conn.peer = r.pool.peerOf(&r.Header)
+			}
 			if _, empty := r.body.(noBody); empty {
 				r.finish()
 			}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,8 @@
 	firstByteAt  time.Time
 	longestPause time.Duration
 	maybeRun     bool // an attempt may have run the call
+	// located is what showed that the target of the last send was at its address, if the call has homes.
+	located permission.Location
 	// streamVersion is the software version that began the stream of the call.
 	streamVersion continuation.Version
 
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -107,10 +107,11 @@
 // ctx is done.
 func (g *Gateway) sweepConnections(ctx context.Context) error {
 	return duty.Every(ctx, g.clock, connectionSweepInterval, func(context.Context) {
-		known := map[string]bool{}
+		known, ids := map[string]bool{}, map[string]bool{}
 		for _, t := range g.catalogue.Snapshot().Targets {
-			known[t.Address] = true
+			known[t.Address], ids[t.ID] = true, true
 		}
+		g.forgetTargetAnswers(func(id string) bool { return ids[id] })
 		for _, s := range g.servers {
 			s.limiter.Sweep()
 		}
--- a/internal/gateway/doubts.go
+++ b/internal/gateway/doubts.go
@@ -155,6 +155,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetHost(t.Address)
 	request.Header.SetRequestURI(service.HealthPath)
+	sentAt := g.clock.Now()
 	response, err := g.targetPool.Do(ctx, t.Address, request)
 	if err != nil {
 		return 0, err
@@ -163,12 +164,14 @@
 	if err := response.Discard(maxHealthBytes); err != nil {
 		return 0, err
 	}
+	g.recordTargetAnswer(t, sentAt, headers.Instance)
 	switch headers.Instance {
 	case t.ID:
 		return headers.ColdRemaining, nil
 	case "":
 		return max(headers.ColdRemaining, service.ColdStart), nil
 	default:
+		g.metrics.add("targets_found_replaced_total", 1)
 		g.retireTarget(t.ID)
 		return 0, errors.Errorf("target %s responds at the address", headers.Instance)
 	}
@@ -228,9 +231,13 @@
 }
 
 // checkSend reports why a call may not be sent to its target any more, after the time that it
-// took to open a connection.
-func (a *attempt) checkSend() error {
+// took to open a connection, on which peer has answered.
+func (a *attempt) checkSend(peer string) error {
 	g := a.call.gateway
+	openTime := g.clock.Now().Sub(a.sentAt)
+	if err := a.checkLocation(peer); err != nil {
+		return err
+	}
 	if problem := a.call.keyProblem(); problem != "" {
 		return errors.New(problem)
 	}
@@ -245,7 +252,7 @@
 	switch {
 	case restricted:
 		return errors.New("the target may have restarted")
-	case bounded && now.Sub(a.sentAt) > balance.MaxOpenTime:
+	case bounded && openTime > balance.MaxOpenTime:
 		g.doubtProcess(a.choice.Target, false, signSlowOpen)
 		return errors.New("the connection took too long to open")
 	default:
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -90,7 +90,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	sent := c.gateway.moment()
 	start := sent.at
-	response, err := c.gateway.peerPool.DoIf(a.ctx, host.PeerAddress, request, func() error { return c.checkForward(host) })
+	response, err := c.gateway.peerPool.DoIf(a.ctx, host.PeerAddress, request, func(string) error { return c.checkForward(host) })
 	if err != nil {
 		return nil, a.forwardFailed(host, start, err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 //	storecontact.go answers of the store to other hosts
 //	place.go        whether a host is still at its address
 //	evidence.go     what shows that the configuration is in force
+//	location.go     what shows that targets are at their addresses
 //	homes.go        homes that change while a call lasts
 //	newer.go        configurations that another host has before this one
 //	traffic.go      bytes between hosts by purpose
@@ -172,6 +173,7 @@
 	runningStreams  map[*activeCall]streamRecord
 	typicalTimes    map[string]time.Duration // processing time by route
 	avoidUntil      map[string]time.Time     // by host; no call is forwarded to it before
+	targetAnswers   map[string]targetAnswer  // by target
 	reaches         map[string]knownReach    // by host; of those that do not reach most targets
 	lastMessages    map[string]messageStamp  // by host
 	placements      map[string]placement     // by host
@@ -198,6 +200,8 @@
 	keyIndex         atomic.Pointer[keyIndex]
 	// configurationFetches joins the requests of calls for a newer configuration.
 	configurationFetches singleflight.Group
+	// locationQueries joins the queries of calls for who is at an address.
+	locationQueries singleflight.Group
 	// observedVersion is the version that observeConfiguration has counted last.
 	observedVersion atomic.Uint64
 	leaving         atomic.Bool
@@ -264,7 +268,7 @@
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
 		parts:      quarantine.NewParts(),
 		streams:    continuation.NewRecords(streamRetention), versions: continuation.NewHistory(versionRetention), runningStreams: map[*activeCall]streamRecord{},
-		avoidUntil: map[string]time.Time{}, reaches: map[string]knownReach{}, lastMessages: map[string]messageStamp{}, placements: map[string]placement{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
+		avoidUntil: map[string]time.Time{}, targetAnswers: map[string]targetAnswer{}, reaches: map[string]knownReach{}, lastMessages: map[string]messageStamp{}, placements: map[string]placement{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
@@ -280,7 +284,7 @@
 	g.memory = memory.NewMachineBudget(s.MemoryMB)
 	g.uploads = upload.NewReader(g.memory, upload.WithClock(g.clock), upload.WithOnEnded(g.recordEndedUpload))
 	g.callers = g.newLimiter(callerServer, callerShare, link.WithMemory(memory.Share{Budget: g.memory, Kind: memory.Connections}, upload.ConnectionBytes))
-	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), g.onMalformed("target"))
+	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), exchange.WithPeer(g.instanceOf), g.onMalformed("target"))
 	g.peerPool = exchange.NewPool(g.counted(bandwidth.Calls), exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.storePool = exchange.NewPool(g.counted(bandwidth.Store), exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -138,9 +138,11 @@
 	InFlight    int64
 	Hosts       []member.Info
 	// Targets are the targets of the own region.
-	Targets      []balance.TargetDump
-	KnownTargets int
-	Regions      []string
+	Targets []balance.TargetDump
+	// TargetProofAgesMs is how long ago targets were asked for the last response that named them, by target.
+	TargetProofAgesMs map[string]int64 `json:",omitempty"`
+	KnownTargets      int
+	Regions           []string
 	// Reach is how many targets of its region the host has a path to.
 	Reach string
 	// SuspectedParts and QuarantinedParts count parts of prompts that may crash targets.
@@ -179,6 +181,10 @@
 	defer g.mu.Unlock()
 	d.Targets, d.Reach = g.balancer.Dump(now), g.balancer.Reach().String()
 	d.SuspectedParts, d.QuarantinedParts = g.parts.Counts(now)
+	d.TargetProofAgesMs = map[string]int64{}
+	for id, answer := range g.targetAnswers {
+		d.TargetProofAgesMs[id] = now.Sub(answer.askedAt).Milliseconds()
+	}
 	return d
 }
 
@@ -222,7 +228,7 @@
 	}
 	c.gateway.log.Info("A call ended.", "ID", c.meta.ID, "Route", c.route.Name, "Workspace", c.workspaceName(), "Service", c.service, "Version", c.version, "NewsAgeMs", c.newsAgeMs,
 		"Received", c.fromPeer, "Status", status, "Outcome", outcome.String(), "Reason", reason,
-		"TookMs", took.Milliseconds(), "HeldMs", c.heldFor.Milliseconds(), "Diverted", c.diverted, "FirstMs", c.firstByteMs(), "LongestPauseMs", c.longestPause.Milliseconds(), "Sends", c.attempts, "Steps", c.steps, "Since", c.acceptedAt.UTC().Format(time.RFC3339Nano))
+		"TookMs", took.Milliseconds(), "HeldMs", c.heldFor.Milliseconds(), "Diverted", c.diverted, "FirstMs", c.firstByteMs(), "LongestPauseMs", c.longestPause.Milliseconds(), "Sends", c.attempts, "ProofWitness", c.located.Witness.String(), "ProofAgeMs", c.located.Age.Milliseconds(), "Steps", c.steps, "Since", c.acceptedAt.UTC().Format(time.RFC3339Nano))
 }
 
 // firstByteMs returns the milliseconds to the first byte of the response, -1 if none came.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -353,6 +353,7 @@
 	status := response.Status()
 	c.arrivals++
 	if status != fasthttp.StatusMisdirectedRequest { // sent by another target
+		c.gateway.recordTargetAnswer(target, a.sentAt, headers.Instance)
 		c.gateway.recordTargetState(target, a.sentAt, headers)
 	}
 	if headers.NotRun {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,6 +59,8 @@
 	// tokens are on their way between hosts.
 	QuotaOverage       float64 `json:"QuotaOverage,omitempty"`
 	QuotaWindowSeconds float64 `json:"QuotaWindowSeconds,omitempty"`
+	// ReuseSeconds is how long the address of a target that has ended belongs to nobody. 0 means 2 s.
+	ReuseSeconds float64 `json:"ReuseSeconds,omitempty"`
 	// Policy has the weights of the routing decisions. Missing fields have their defaults.
 	Policy balance.Policy `json:"Policy"`
 	// MaxDescriptors bounds the file descriptors of the process, beside the limit of the operating
@@ -78,6 +80,14 @@
 	return time.Duration(s.DrainSeconds * float64(time.Second))
 }
 
+// reuseTime returns how long the address of a target that has ended belongs to nobody.
+func (s Settings) reuseTime() time.Duration {
+	if s.ReuseSeconds == 0 {
+		return defaultReuseTime
+	}
+	return time.Duration(s.ReuseSeconds * float64(time.Second))
+}
+
 func (s Settings) directoryTTL() time.Duration {
 	return time.Duration(s.DirectoryTTLSeconds * float64(time.Second))
 }
@@ -132,6 +142,7 @@
 	require(s.RevocationMs == 0 || s.RevocationMs >= minRevocationMs, "RevocationMs", "expected 0 or at least %d, got %g", minRevocationMs, s.RevocationMs)
 	require(s.QuotaOverage >= 0 && s.QuotaOverage <= 1, "QuotaOverage", "expected a number from 0 to 1, got %g", s.QuotaOverage)
 	require(s.QuotaWindowSeconds >= 0, "QuotaWindowSeconds", "expected no negative number, got %g", s.QuotaWindowSeconds)
+	require(s.ReuseSeconds >= 0, "ReuseSeconds", "expected no negative number, got %g", s.ReuseSeconds)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
 	require(s.MemoryMB == 0 || s.MemoryMB >= memory.MinMB, "MemoryMB", "expected 0 or at least %d, got %g", memory.MinMB, s.MemoryMB)
 	require(s.LinkMbps >= 0, "LinkMbps", "expected no negative number, got %g", s.LinkMbps)
--- a/internal/gateway/standstill.go
+++ b/internal/gateway/standstill.go
@@ -31,6 +31,7 @@
 		g.sentReports.times[i] = g.sentReports.times[i].Add(-suspended)
 	}
 	g.testimony, g.versionsQueriedAt = testimony{}, time.Time{}
+	clear(g.targetAnswers)
 	g.follower.ForgetContact()
 	g.balancer.Resume(now)
 	g.quotas.invalidate(now)
