internal/gateway: know targets by the requests that they do not refuse

Targets state their ID in responses to health checks and in refusals only, so a kept connection on which a target had answered a call did not count as one to that target, and each call with homes on it was preceded by a health check. A request names the target that it is for, and any other one refuses it with 421: whoever answers otherwise is that target.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -175,7 +175,7 @@
 		address, _ := servePeer(func(_ int64, c net.Conn) {
 			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nPeer: d1\r\nContent-Length: 0\r\n\r\n")
 		})
-		pool := exchange.NewPool(&net.Dialer{}, exchange.WithPeer(func(h *fasthttp.ResponseHeader) string { return string(h.Peek("Peer")) }))
+		pool := exchange.NewPool(&net.Dialer{}, exchange.WithPeer(func(_ *fasthttp.RequestHeader, h *fasthttp.ResponseHeader) string { return string(h.Peek("Peer")) }))
 		DeferCleanup(pool.Close)
 		request := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(request)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -48,7 +48,7 @@
 	repeatAfter    time.Duration // see WithRepeat; 0 for never
 	onRepeat       func()
 	onMalformed    func(address string, err error)         // nil for none
-	peerOf         func(h *fasthttp.ResponseHeader) string // nil for none
+	peerOf         PeerFunc // nil for none
 
 	sent atomic.Uint64 // requests, if numbered
 
@@ -97,10 +97,11 @@
 	return func(p *Pool) { p.onMalformed = f }
 }
 
-// WithPeer sets a function that returns the ID that a peer states in its responses, empty for none. See DoIf.
-func WithPeer(f func(h *fasthttp.ResponseHeader) string) Option {
-	return func(p *Pool) { p.peerOf = f }
-}
+// PeerFunc returns the ID of the peer that gave a response, empty if that is not known.
+type PeerFunc func(request *fasthttp.RequestHeader, response *fasthttp.ResponseHeader) string
+
+// WithPeer sets a function that identifies peers. See DoIf.
+func WithPeer(f PeerFunc) Option { return func(p *Pool) { p.peerOf = f } }
 
 // WithOpenTimeout bounds the time to open a connection.
 func WithOpenTimeout(d time.Duration) Option { return func(p *Pool) { p.openTimeout = d } }
@@ -122,7 +123,7 @@
 	used     bool          // by an earlier exchange
 	idleTime time.Duration // maximum time between two exchanges
 	carried  []requestID   // of the requests sent so far, in a pool with a once header
-	peer     string        // ID that the last response stated, empty before the first one
+	peer     string        // ID of the peer that gave the last response, empty if not known
 }
 
 // requestID is the hash of the ID of a request, which the response repeats.
@@ -157,8 +158,8 @@
 	return p.DoIf(ctx, address, request, func(string) error { return nil })
 }
 
-// DoIf is like Do, but calls check once a connection is open, which may take long, with the ID that the peer
-// stated in the last response on that connection, empty for a new one. If check fails, nothing is sent, and the
+// DoIf is like Do, but calls check once a connection is open, which may take long, with the ID of the peer
+// that gave the last response on that connection, empty for a new one. If check fails, nothing is sent, and the
 // error is of kind Withdrawn.
 func (p *Pool) DoIf(ctx context.Context, address string, request *fasthttp.Request, check func(peer string) error) (*Response, error) {
 	const op = "exchange"
@@ -231,7 +232,7 @@
 		}
 		if r.pool.matches(request, &r.Header) {
 			if r.pool.peerOf != nil {
-				r.conn.peer = r.pool.peerOf(&r.Header)
+				r.conn.peer = r.pool.peerOf(&request.Header, &r.Header)
 			}
 			if _, empty := r.body.(noBody); empty {
 				r.finish()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -284,7 +284,7 @@
 	g.memory = memory.NewMachineBudget(s.MemoryMB)
 	g.uploads = upload.NewReader(g.memory, upload.WithClock(g.clock), upload.WithOnEnded(g.recordEndedUpload))
 	g.callers = g.newLimiter(callerServer, callerShare, link.WithMemory(memory.Share{Budget: g.memory, Kind: memory.Connections}, upload.ConnectionBytes))
-	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), exchange.WithPeer(g.instanceOf), g.onMalformed("target"))
+	g.targetPool = exchange.NewPool(g.network, exchange.WithMaxIdleTotal(int(idleTargetShare*float64(link.Descriptors(s.MaxDescriptors)))), exchange.WithEchoHeader(g.protocol.IDHeader()), exchange.WithCloseDelimited(), exchange.WithOpenTimeout(balance.MaxOpenTime), exchange.WithPeer(g.responder), g.onMalformed("target"))
 	g.peerPool = exchange.NewPool(g.counted(bandwidth.Calls), exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.controlPool = exchange.NewPool(g.network, exchange.WithNumbers(headerNumber), g.onMalformed("host"))
 	g.storePool = exchange.NewPool(g.counted(bandwidth.Store), exchange.WithRepeat(storeRepeatTime, func() { g.metrics.add("store_requests_repeated_total", 1) }), g.onMalformed("store"))
--- a/internal/gateway/location.go
+++ b/internal/gateway/location.go
@@ -24,10 +24,10 @@
 	askedAt time.Time
 }
 
-// recordTargetAnswer records that a target answered a request that was sent to its address at sentAt. A response that
-// names another target, or none, shows nothing.
-func (g *Gateway) recordTargetAnswer(t catalogue.Target, sentAt time.Time, instance string) {
-	if instance != t.ID {
+// recordTargetAnswer records that a target answered a request that was sent to its address at sentAt. A response of
+// another target shows nothing.
+func (g *Gateway) recordTargetAnswer(t catalogue.Target, sentAt time.Time, responder string) {
+	if responder != t.ID {
 		return
 	}
 	g.mu.Lock()
@@ -108,7 +108,12 @@
 	maps.DeleteFunc(g.targetAnswers, func(id string, _ targetAnswer) bool { return !known(id) })
 }
 
-// instanceOf returns the ID that a target states in a response.
-func (g *Gateway) instanceOf(h *fasthttp.ResponseHeader) string {
-	return g.protocol.ReadTargetResponse(h).Instance
+// responder returns the ID of the target that gave a response: the one that it states, or else the one that the request
+// names, as any other target refuses such a request. It is empty if neither does.
+func (g *Gateway) responder(request *fasthttp.RequestHeader, response *fasthttp.ResponseHeader) string {
+	stated := g.protocol.ReadTargetResponse(response).Instance
+	if stated != "" || response.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return stated
+	}
+	return g.protocol.ExpectedInstance(request)
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -107,6 +107,8 @@
 	ReadCacheList(body []byte) ([]balance.Part, error)
 	WriteTargetRequest(h *fasthttp.RequestHeader, t TargetRequest)
 	ReadTargetResponse(h *fasthttp.ResponseHeader) TargetResponse
+	// ExpectedInstance returns the ID of the target that a request is for, empty for one that any target answers.
+	ExpectedInstance(h *fasthttp.RequestHeader) string
 	ReadDirectoryQuery(args *fasthttp.Args) DirectoryQuery
 	WriteDirectory(addresses []string, ttl time.Duration) ([]byte, error)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -353,7 +354,7 @@
 	status := response.Status()
 	c.arrivals++
 	if status != fasthttp.StatusMisdirectedRequest { // sent by another target
-		c.gateway.recordTargetAnswer(target, a.sentAt, headers.Instance)
+		c.gateway.recordTargetAnswer(target, a.sentAt, cmp.Or(headers.Instance, target.ID))
 		c.gateway.recordTargetState(target, a.sentAt, headers)
 	}
 	if headers.NotRun {
