--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -47,8 +47,8 @@
 	openTimeout    time.Duration // for a new connection, 0 for that of the dialer
 	repeatAfter    time.Duration // see WithRepeat; 0 for never
 	onRepeat       func()
-	onMalformed    func(address string, err error)         // nil for none
-	peerOf         PeerFunc // nil for none
+	onMalformed    func(address string, err error) // nil for none
+	peerOf         PeerFunc                        // nil for none
 
 	sent atomic.Uint64 // requests, if numbered
 
