internal/gateway: ask a second host of a region only if the first one hangs, and join the reuse times

Two hosts of each other region were asked in each query. The second one is asked if the first one fails or has not answered in half of the time now. Hosts and targets go by one setting for the time in which an address is not used again, which must leave the time to ask.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -31,8 +31,10 @@
 	maxVersionQueryAge   = 2 * time.Second
 	// evidenceRefreshAge is the age from which on evidence of hosts is sought anew.
 	evidenceRefreshAge = 1500 * time.Millisecond
-	// hostsAskedPerRegion is the number of hosts of another region that are asked, as some may not answer.
-	hostsAskedPerRegion = 2
+	// maxVersionQueryHosts bounds the hosts of a region that are asked in a query. The second one is asked if the first
+	// one fails or has not answered for hangTime.
+	maxVersionQueryHosts = 2
+	hangTime             = versionQueryTimeout / 2
 )
 
 // testimony is what other hosts have said of the configuration in force here: none had a newer one.
@@ -159,10 +161,10 @@
 	known := g.configurationVersion()
 	var mu sync.Mutex // guards t
 	var wait sync.WaitGroup
-	for _, host := range g.versionQueryHosts() {
+	for region, hosts := range g.versionQueryHosts() {
 		wait.Go(func() {
-			contactAge, err := g.queryVersion(ctx, host, known)
-			if err != nil {
+			contactAge, ok := g.askRegion(ctx, hosts, known)
+			if !ok {
 				return
 			}
 			mu.Lock()
@@ -170,8 +172,8 @@
 			if contactAge != nil && askedAt.Add(-*contactAge).After(t.storeAsOf) {
 				t.storeAsOf = askedAt.Add(-*contactAge)
 			}
-			if host.Region != g.settings.Region {
-				t.vouchedAt[host.Region] = askedAt
+			if region != g.settings.Region {
+				t.vouchedAt[region] = askedAt
 			}
 		})
 	}
@@ -179,6 +181,39 @@
 	return t, askedAt, suspendedFor
 }
 
+// askRegion asks hosts of a region, the next one once one fails or hangs, and returns what the first one says that answers.
+func (g *Gateway) askRegion(ctx context.Context, hosts []member.Info, known uint64) (contactAge *time.Duration, ok bool) {
+	type answer struct {
+		contactAge *time.Duration
+		err        error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, len(hosts))
+	hangs := g.clock.After(hangTime)
+	running := 0
+	for len(hosts)+running > 0 {
+		if len(hosts) > 0 {
+			host := hosts[0]
+			hosts, running = hosts[1:], running+1
+			go func() {
+				contactAge, err := g.queryVersion(ctx, host, known)
+				answers <- answer{contactAge, err}
+			}()
+		}
+		select {
+		case a := <-answers:
+			running--
+			if a.err == nil {
+				return a.contactAge, true
+			}
+		case <-hangs:
+			hangs = nil
+		}
+	}
+	return nil, false
+}
+
 // recordTestimony records what hosts have said, unless the machine was suspended while they were asked.
 func (g *Gateway) recordTestimony(t testimony, askedAt time.Time, suspendedFor time.Duration) {
 	g.noticeSuspension()
@@ -197,9 +232,9 @@
 		"EvidenceAgeMs", e.Age.Milliseconds(), "Answered", slices.Sorted(maps.Keys(t.vouchedAt)), "NewsAgeMs", g.newsAgeMs(g.clock.Now()))
 }
 
-// versionQueryHosts returns random hosts of each region, those in use by preference. Suspected ones are among them, as a
-// host that was away suspects the others.
-func (g *Gateway) versionQueryHosts() []member.Info {
+// versionQueryHosts returns random hosts by region, those in use first. Suspected ones are among them, as a host that
+// was away suspects the others.
+func (g *Gateway) versionQueryHosts() map[string][]member.Info {
 	members := slices.Clone(g.gossip.View().Members)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	slices.SortStableFunc(members, func(a, b member.Info) int {
@@ -212,18 +247,11 @@
 			return 1
 		}
 	})
-	var out []member.Info
-	chosen := map[string]int{}
+	out := map[string][]member.Info{}
 	for _, m := range members {
-		most := hostsAskedPerRegion
-		if m.Region == g.settings.Region {
-			most = 1
-		}
-		if m.Host == g.settings.Host || m.Status == member.Gone || chosen[m.Region] == most || isReplaced(m, members) {
-			continue
+		if m.Host != g.settings.Host && m.Status != member.Gone && !isReplaced(m, members) && len(out[m.Region]) < maxVersionQueryHosts {
+			out[m.Region] = append(out[m.Region], m)
 		}
-		chosen[m.Region]++
-		out = append(out, m)
 	}
 	return out
 }
--- a/internal/gateway/location.go
+++ b/internal/gateway/location.go
@@ -18,6 +18,9 @@
 // defaultReuseTime is how long an address stays free after its target has ended, unless the settings say.
 const defaultReuseTime = 2 * time.Second
 
+// minReuseSeconds leaves a host time to ask who is at an address.
+const minReuseSeconds = 0.5
+
 // targetAnswer is the last request that a target has answered, by when it was sent.
 type targetAnswer struct {
 	address string
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// reuseTime is the time after which the address of a host that has ended may belong to another one, and
-	// maxPlaceAge the time for which a host is known to be at its address once that was shown.
-	reuseTime   = 2 * time.Second
-	maxPlaceAge = reuseTime - 200*time.Millisecond
+	// placeMargin is subtracted from the time for which the address of an ended host belongs to nobody, for a body on
+	// its way.
+	placeMargin = 200 * time.Millisecond
 	// placeQueryTimeout bounds the wait for a host to show that it is at its address.
 	placeQueryTimeout = 500 * time.Millisecond
 	// maxPlacements is the number of hosts from which on those whose place was not shown lately are forgotten.
@@ -51,7 +50,7 @@
 	defer g.mu.Unlock()
 	if len(g.placements) >= maxPlacements {
 		now := g.clock.Now()
-		maps.DeleteFunc(g.placements, func(_ string, p placement) bool { return now.Sub(p.at) >= maxPlaceAge })
+		maps.DeleteFunc(g.placements, func(_ string, p placement) bool { return now.Sub(p.at) >= g.maxPlaceAge() })
 	}
 	if sent.at.After(g.placements[host.Host].at) {
 		g.placements[host.Host] = placement{moment: sent, incarnation: host.Incarnation}
@@ -77,9 +76,12 @@
 		shown = m.at
 	}
 	age := now.at.Sub(shown)
-	return age, !shown.IsZero() && age < maxPlaceAge
+	return age, !shown.IsZero() && age < g.maxPlaceAge()
 }
 
+// maxPlaceAge returns for how long a host is known to be at its address once that was shown.
+func (g *Gateway) maxPlaceAge() time.Duration { return g.settings.reuseTime() - placeMargin }
+
 // checkPlace returns an error unless the body of the call may go to a host where it was shown to be lately.
 func (c *activeCall) checkPlace(host member.Info) error {
 	if !c.route.Homes().Restricted() {
--- a/internal/gateway/place_test.go
+++ b/internal/gateway/place_test.go
@@ -24,11 +24,11 @@
 	}{
 		{name: "nothing was heard"},
 		{name: "just responded", responds: true, proven: true},
-		{name: "responded lately", responds: true, pause: maxPlaceAge - time.Millisecond, proven: true},
-		{name: "responded too long ago", responds: true, pause: maxPlaceAge},
+		{name: "responded lately", responds: true, pause: defaultReuseTime - placeMargin - time.Millisecond, proven: true},
+		{name: "responded too long ago", responds: true, pause: defaultReuseTime - placeMargin},
 		{name: "responded before a suspension", responds: true, suspended: time.Minute},
 		{name: "just sent a message", message: 7, proven: true},
-		{name: "sent a message too long ago", message: 7, pause: maxPlaceAge},
+		{name: "sent a message too long ago", message: 7, pause: defaultReuseTime - placeMargin},
 		{name: "sent a message before a suspension", message: 7, suspended: time.Minute},
 		{name: "another process sent a message", message: 8},
 	} {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -142,7 +142,7 @@
 	require(s.RevocationMs == 0 || s.RevocationMs >= minRevocationMs, "RevocationMs", "expected 0 or at least %d, got %g", minRevocationMs, s.RevocationMs)
 	require(s.QuotaOverage >= 0 && s.QuotaOverage <= 1, "QuotaOverage", "expected a number from 0 to 1, got %g", s.QuotaOverage)
 	require(s.QuotaWindowSeconds >= 0, "QuotaWindowSeconds", "expected no negative number, got %g", s.QuotaWindowSeconds)
-	require(s.ReuseSeconds >= 0, "ReuseSeconds", "expected no negative number, got %g", s.ReuseSeconds)
+	require(s.ReuseSeconds == 0 || s.ReuseSeconds >= minReuseSeconds, "ReuseSeconds", "expected 0 or at least %g, got %g", minReuseSeconds, s.ReuseSeconds)
 	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "MaxDescriptors", "expected 0 or at least %d, got %d", minDescriptors, s.MaxDescriptors)
 	require(s.MemoryMB == 0 || s.MemoryMB >= memory.MinMB, "MemoryMB", "expected 0 or at least %d, got %g", memory.MinMB, s.MemoryMB)
 	require(s.LinkMbps >= 0, "LinkMbps", "expected no negative number, got %g", s.LinkMbps)
