internal/gateway: name what shows that hosts and targets are at their addresses alike

Hosts had a place and targets a location, for the same thing. A forward is counted and logged once it is sent, not if it is withdrawn on its open connection.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -283,7 +283,7 @@
 		g.avoidHost(host.Host, hostFailurePause)
 		return nil, errors.Errorf("host %s responds", b.Host)
 	}
-	g.recordPlace(host, sent)
+	g.recordHostAnswer(host, sent)
 	if len(b.Events) > 0 {
 		g.follower.HandleUpdate(b.Update, catalogue.Contact{})
 		if g.configurationVersion() <= known {
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -172,7 +172,7 @@
 	k := clock.System{}
 	g := &Gateway{
 		settings: Settings{Host: "north-0", Region: "north", DataCentres: map[string]string{"north": "north", "south": "south", "west": "west"}}, clock: k, started: k.Now(), log: logr.Discard(), metrics: newMetrics(), signer: seal.New("key"),
-		balancer: balance.NewBalancer("north", 1), lastMessages: map[string]messageStamp{}, placements: map[string]placement{}, regionLastSeen: map[string]time.Time{}, avoidUntil: map[string]time.Time{},
+		balancer: balance.NewBalancer("north", 1), lastMessages: map[string]messageStamp{}, hostAnswers: map[string]hostAnswer{}, regionLastSeen: map[string]time.Time{}, avoidUntil: map[string]time.Time{},
 		codec: delta.NewCodec(maxPeerResponseBytes), bandwidth: bandwidth.NewBudget(k, 0),
 	}
 	g.sinceBoot = func() time.Duration {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -78,24 +78,29 @@
 
 // forward sends the call to another host, which sends it to one of its targets.
 func (c *activeCall) forward(host member.Info) (*upstreamResponse, result) {
-	if r, ok := c.provePlace(host); !ok {
+	if r, ok := c.proveHostLocation(host); !ok {
 		return nil, r
 	}
 	if !c.chargeRetryBudget() {
 		return nil, result{outcome: c.outcomeWithoutRetry(), reason: "the budget for repeats is spent", last: true}
 	}
-	c.recordForward(host)
 	a := c.newAttempt(c.remaining(), "")
 	request := c.newRegionRequest()
 	defer fasthttp.ReleaseRequest(request)
 	sent := c.gateway.moment()
 	start := sent.at
-	response, err := c.gateway.peerPool.DoIf(a.ctx, host.PeerAddress, request, func(string) error { return c.checkForward(host) })
+	response, err := c.gateway.peerPool.DoIf(a.ctx, host.PeerAddress, request, func(string) error {
+		if err := c.checkForward(host); err != nil {
+			return err
+		}
+		c.recordForward(host)
+		return nil
+	})
 	if err != nil {
 		return nil, a.forwardFailed(host, start, err)
 	}
 	if response.Get(headerHost) == host.Host {
-		c.gateway.recordPlace(host, sent)
+		c.gateway.recordHostAnswer(host, sent)
 	}
 	if host.Region != c.gateway.settings.Region {
 		c.gateway.recordRoundTrip(host.Region, c.gateway.clock.Now().Sub(start), response.Get(headerElapsed))
@@ -113,7 +118,7 @@
 	if to.Region != c.gateway.settings.Region && verdict != permission.Granted {
 		return errors.New("nothing shows that the homes of the call are in force")
 	}
-	return c.checkPlace(to)
+	return c.checkHostLocation(to)
 }
 
 // recordForward counts a call that is sent to another host, and logs one that not every region may serve.
@@ -122,11 +127,11 @@
 	g.metrics.add(fmt.Sprintf("forwarded_calls_total{region=%q,homes=\"%t\"}", to.Region, restricted), 1)
 	if restricted {
 		e := g.evidence()
-		placeAge, _ := g.placeAge(to)
-		g.metrics.observeAge("forward_place_age_ms", placeAge)
+		hostLocationAge, _ := g.hostLocationAge(to)
+		g.metrics.observeAge("forward_location_age_ms", hostLocationAge)
 		g.log.Info("A call with home regions is forwarded.", "ID", c.meta.ID, "Route", c.route.Name, "Homes", c.route.HomeRegions, "WorkspaceHomes", c.route.WorkspaceRegions, "Version", c.version,
 			"Region", g.settings.Region, "To", to.Host, "ToRegion", to.Region, "Repeat", c.arrivals > 0,
-			"Witness", e.Witness.String(), "EvidenceAgeMs", e.Age.Milliseconds(), "PlaceAgeMs", placeAge.Milliseconds())
+			"Witness", e.Witness.String(), "EvidenceAgeMs", e.Age.Milliseconds(), "LocationAgeMs", hostLocationAge.Milliseconds())
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,9 +22,9 @@
 //	standstill.go   times at which the host or its machine stood still
 //	paths.go        paths of hosts to the targets of their region
 //	storecontact.go answers of the store to other hosts
-//	place.go        whether a host is still at its address
+//	hostlocation.go whether a host is still at its address
 //	evidence.go     what shows that the configuration is in force
-//	location.go     what shows that targets are at their addresses
+//	targetlocation.go what shows that targets are at their addresses
 //	homes.go        homes that change while a call lasts
 //	newer.go        configurations that another host has before this one
 //	traffic.go      bytes between hosts by purpose
@@ -176,7 +176,7 @@
 	targetAnswers   map[string]targetAnswer  // by target
 	reaches         map[string]knownReach    // by host; of those that do not reach most targets
 	lastMessages    map[string]messageStamp  // by host
-	placements      map[string]placement     // by host
+	hostAnswers     map[string]hostAnswer    // by host
 	sentReports     sentReports
 	storeContact    storeContact // of other hosts
 	// versionsQueriedAt is the end of the last query for newer configurations, and testimony what it brought.
@@ -268,7 +268,7 @@
 		quarantine: quarantine.NewRegistry(quarantine.WithCrashThreshold(crashesToQuarantine)),
 		parts:      quarantine.NewParts(),
 		streams:    continuation.NewRecords(streamRetention), versions: continuation.NewHistory(versionRetention), runningStreams: map[*activeCall]streamRecord{},
-		avoidUntil: map[string]time.Time{}, targetAnswers: map[string]targetAnswer{}, reaches: map[string]knownReach{}, lastMessages: map[string]messageStamp{}, placements: map[string]placement{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
+		avoidUntil: map[string]time.Time{}, targetAnswers: map[string]targetAnswer{}, reaches: map[string]knownReach{}, lastMessages: map[string]messageStamp{}, hostAnswers: map[string]hostAnswer{}, invalidHeaders: map[string]string{}, regionLastSeen: map[string]time.Time{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, option := range options {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -195,12 +195,12 @@
 		return member.Info{}, false
 	}
 	if c.route.Homes().Restricted() {
-		placed := slices.DeleteFunc(slices.Clone(out), func(m member.Info) bool {
-			_, ok := g.placeAgeAt(seen, m)
+		located := slices.DeleteFunc(slices.Clone(out), func(m member.Info) bool {
+			_, ok := g.hostLocationAgeAt(seen, m)
 			return !ok
 		})
-		if len(placed) > 0 {
-			out = placed
+		if len(located) > 0 {
+			out = located
 		}
 	}
 	return out[g.rng.IntN(len(out))], true
